--- /dev/null
+++ b/attempt/id/id.go
@@ -0,0 +1,60 @@
+// Package id names attempts: each dispatch of a request to a backend server has its own ID.
+//
+// # Usage
+//
+//	first := id.New("vm-17", 1764846093, 42)
+//	retry := first.WithAttempt(1)
+//	parsed, err := id.Parse(first.String())
+package id
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"berylpass/fleet/member"
+)
+
+// ErrMalformed reports text that is not an attempt ID.
+var ErrMalformed = errors.New("malformed attempt id: want member/incarnation/request/attempt")
+
+// ID names one attempt. It never repeats: an ingress numbers its requests from
+// its start and its incarnation rises with each start.
+type ID struct {
+	Ingress     member.ID
+	Incarnation uint64
+	Request     uint64
+	Attempt     uint8
+}
+
+// New returns the ID of the first attempt of a request.
+func New(ingress member.ID, incarnation, request uint64) ID {
+	return ID{Ingress: ingress, Incarnation: incarnation, Request: request}
+}
+
+// WithAttempt returns the ID of another attempt of the same request.
+func (i ID) WithAttempt(n uint8) ID {
+	i.Attempt = n
+	return i
+}
+
+// String returns member/incarnation/request/attempt.
+func (i ID) String() string {
+	return fmt.Sprintf("%s/%d/%d/%d", i.Ingress, i.Incarnation, i.Request, i.Attempt)
+}
+
+// Parse reads what String wrote. Its error is ErrMalformed.
+func Parse(text string) (ID, error) {
+	parts := strings.Split(text, "/")
+	if len(parts) != 4 || parts[0] == "" {
+		return ID{}, ErrMalformed
+	}
+	incarnation, errI := strconv.ParseUint(parts[1], 10, 64)
+	request, errR := strconv.ParseUint(parts[2], 10, 64)
+	attempt, errA := strconv.ParseUint(parts[3], 10, 8)
+	if errors.Join(errI, errR, errA) != nil {
+		return ID{}, ErrMalformed
+	}
+	return New(member.ID(parts[0]), incarnation, request).WithAttempt(uint8(attempt)), nil
+}
--- /dev/null
+++ b/cmd/berylpass/main.go
@@ -0,0 +1,4 @@
+// Command berylpass is the daemon and the operators' tool of a proxy fleet.
+package main
+
+func main() {}
--- /dev/null
+++ b/config/organisation/organisation.go
@@ -0,0 +1,58 @@
+// Package organisation describes a tenant: its keys, rate and burst.
+//
+// # Usage
+//
+//	o := organisation.New("hope-bay-library").WithLimit(20, 40).WithKey(k)
+package organisation
+
+import (
+	"slices"
+
+	"berylpass/config/key"
+)
+
+// Organisation is a tenant of the deployment. In any window of t seconds, all
+// VMs together run at most Burst + Rate*t of its requests.
+type Organisation struct {
+	Name string
+	// Rate is the sustained limit in requests per second.
+	Rate float64
+	// Burst is the number of requests allowed at once.
+	Burst int
+	// Keys are the keys in force, sorted by ID.
+	Keys []key.Key
+}
+
+// New returns an organisation without keys or allowance.
+func New(name string) Organisation { return Organisation{Name: name} }
+
+// WithLimit returns a copy with the rate in requests per second and the burst in requests.
+func (o Organisation) WithLimit(rate float64, burst int) Organisation {
+	o.Rate, o.Burst = rate, burst
+	return o
+}
+
+// WithKey returns a copy in which k is in force, in place of a key with the same ID.
+func (o Organisation) WithKey(k key.Key) Organisation {
+	o = o.WithoutKey(k.ID)
+	o.Keys = append(o.Keys, k)
+	slices.SortFunc(o.Keys, func(a, b key.Key) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return o
+}
+
+// WithoutKey returns a copy in which the key with the given ID is withdrawn.
+func (o Organisation) WithoutKey(id string) Organisation {
+	kept := make([]key.Key, 0, len(o.Keys))
+	for _, k := range o.Keys {
+		if k.ID != id {
+			kept = append(kept, k)
+		}
+	}
+	o.Keys = kept
+	return o
+}
--- /dev/null
+++ b/config/service/service.go
@@ -0,0 +1,49 @@
+// Package service describes a group of interchangeable backend servers.
+//
+// # Usage
+//
+//	s := service.New("catalogue-desk").WithFloor(0.5)
+package service
+
+import "time"
+
+// Default values of a service.
+const (
+	DefaultFloor = 0.5
+	DefaultRamp  = 10 * time.Second
+	DefaultSlots = 4
+)
+
+// Service is a group of interchangeable backend servers.
+type Service struct {
+	Name string
+	// Floor is the share of healthy capacity, from 0 to 1, that eviction must leave in use.
+	Floor float64
+	// Ramp is the time in which a freshly started backend server reaches all its slots.
+	Ramp time.Duration
+	// Slots is the number of requests at once on a backend server that announces none.
+	Slots int
+}
+
+// New returns a service with the default values.
+func New(name string) Service {
+	return Service{Name: name, Floor: DefaultFloor, Ramp: DefaultRamp, Slots: DefaultSlots}
+}
+
+// WithFloor returns a copy with the floor, a share from 0 to 1.
+func (s Service) WithFloor(share float64) Service {
+	s.Floor = share
+	return s
+}
+
+// WithRamp returns a copy whose backend servers take ramp to reach all their slots.
+func (s Service) WithRamp(ramp time.Duration) Service {
+	s.Ramp = ramp
+	return s
+}
+
+// WithSlots returns a copy with the number of requests at once on a backend server.
+func (s Service) WithSlots(n int) Service {
+	s.Slots = n
+	return s
+}
--- /dev/null
+++ b/config/snapshot/snapshot.go
@@ -0,0 +1,195 @@
+// Package snapshot holds one revision of the whole configuration.
+//
+// A snapshot is immutable: each With method returns a new one, and readers keep
+// the one that they hold. Index builds the look-up tables that serving needs;
+// call it once after the last change and before sharing the snapshot.
+//
+// # Usage
+//
+//	s := snapshot.New(7).WithRoute(r).WithOrganisation(o).Index()
+//	r, err := s.Route("POST", "api.example", "/renewals/12")
+//	org, k, ok := s.Caller(key.Sum(secret))
+package snapshot
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+
+	"berylpass/config/datacentre"
+	"berylpass/config/key"
+	"berylpass/config/organisation"
+	"berylpass/config/route"
+	"berylpass/config/service"
+)
+
+var (
+	// ErrNoRoute reports that no route serves the host and path.
+	ErrNoRoute = errors.New("no route for this host and path")
+	// ErrMethod reports that routes serve the path, but not with this method.
+	ErrMethod = errors.New("method not allowed on this path")
+)
+
+// Snapshot is one revision of the configuration.
+type Snapshot struct {
+	// Revision rises with each accepted release note; 0 is the empty configuration.
+	Revision      uint64
+	Organisations map[string]organisation.Organisation
+	Routes        map[string]route.Route
+	Services      map[string]service.Service
+	Datacentres   map[string]datacentre.Datacentre
+
+	index *index
+}
+
+type caller struct {
+	organisation string
+	key          key.Key
+}
+
+type index struct {
+	callers map[key.Digest]caller
+	// routes is keyed by host and prefix; each list is ordered by name.
+	routes map[string][]route.Route
+}
+
+// New returns an empty snapshot of the given revision.
+func New(revision uint64) Snapshot {
+	return Snapshot{
+		Revision:      revision,
+		Organisations: map[string]organisation.Organisation{},
+		Routes:        map[string]route.Route{},
+		Services:      map[string]service.Service{},
+		Datacentres:   map[string]datacentre.Datacentre{},
+	}.Index()
+}
+
+// WithRevision returns a copy with another revision number.
+func (s Snapshot) WithRevision(revision uint64) Snapshot {
+	s.Revision = revision
+	return s
+}
+
+// WithOrganisation returns a copy that holds o, in place of one with the same name.
+func (s Snapshot) WithOrganisation(o organisation.Organisation) Snapshot {
+	s.Organisations, s.index = with(s.Organisations, o.Name, o), nil
+	return s
+}
+
+// WithRoute returns a copy that holds r, in place of one with the same name.
+func (s Snapshot) WithRoute(r route.Route) Snapshot {
+	s.Routes, s.index = with(s.Routes, r.Name, r), nil
+	return s
+}
+
+// WithService returns a copy that holds v, in place of one with the same name.
+func (s Snapshot) WithService(v service.Service) Snapshot {
+	s.Services, s.index = with(s.Services, v.Name, v), nil
+	return s
+}
+
+// WithDatacentre returns a copy that holds d, in place of one with the same name.
+func (s Snapshot) WithDatacentre(d datacentre.Datacentre) Snapshot {
+	s.Datacentres, s.index = with(s.Datacentres, d.Name, d), nil
+	return s
+}
+
+// WithoutOrganisation returns a copy without the named organisation.
+func (s Snapshot) WithoutOrganisation(name string) Snapshot {
+	s.Organisations, s.index = without(s.Organisations, name), nil
+	return s
+}
+
+// WithoutRoute returns a copy without the named route.
+func (s Snapshot) WithoutRoute(name string) Snapshot {
+	s.Routes, s.index = without(s.Routes, name), nil
+	return s
+}
+
+// WithoutService returns a copy without the named service.
+func (s Snapshot) WithoutService(name string) Snapshot {
+	s.Services, s.index = without(s.Services, name), nil
+	return s
+}
+
+// WithoutDatacentre returns a copy without the named data centre.
+func (s Snapshot) WithoutDatacentre(name string) Snapshot {
+	s.Datacentres, s.index = without(s.Datacentres, name), nil
+	return s
+}
+
+// Index returns a copy with the look-up tables that Route and Caller use.
+func (s Snapshot) Index() Snapshot {
+	x := &index{callers: map[key.Digest]caller{}, routes: map[string][]route.Route{}}
+	for _, o := range s.Organisations {
+		for _, k := range o.Keys {
+			x.callers[k.Digest] = caller{organisation: o.Name, key: k}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Routes)) {
+		r := s.Routes[name]
+		slot := routeSlot(r.Host, strings.TrimSuffix(r.Prefix, "/"))
+		x.routes[slot] = append(x.routes[slot], r)
+	}
+	s.index = x
+	return s
+}
+
+// Route returns the route that serves the request: the longest prefix wins, and
+// at the same prefix a route with a host wins over one without. Errors are
+// ErrNoRoute and ErrMethod.
+func (s Snapshot) Route(method, host, path string) (route.Route, error) {
+	err := ErrNoRoute
+	host = strings.ToLower(host)
+	for prefix := strings.TrimSuffix(path, "/"); ; prefix = prefix[:strings.LastIndexByte(prefix, '/')] {
+		for _, h := range [2]string{host, ""} {
+			for _, r := range s.index.routes[routeSlot(h, prefix)] {
+				if r.MatchesMethod(method) {
+					return r, nil
+				}
+				err = ErrMethod
+			}
+		}
+		if !strings.Contains(prefix, "/") {
+			return route.Route{}, err
+		}
+	}
+}
+
+// Caller returns the organisation and the key with the given digest.
+func (s Snapshot) Caller(digest key.Digest) (organisation.Organisation, key.Key, bool) {
+	c, ok := s.index.callers[digest]
+	if !ok {
+		return organisation.Organisation{}, key.Key{}, false
+	}
+	return s.Organisations[c.organisation], c.key, true
+}
+
+// HasKey reports whether the key with the given ID is in force for the organisation.
+func (s Snapshot) HasKey(organisationName, keyID string) bool {
+	o, ok := s.Organisations[organisationName]
+	if !ok {
+		return false
+	}
+	return slices.ContainsFunc(o.Keys, func(k key.Key) bool { return k.ID == keyID })
+}
+
+// InService reports whether the data centre is known and takes new work.
+func (s Snapshot) InService(datacentreName string) bool {
+	return s.Datacentres[datacentreName].InService
+}
+
+func routeSlot(host, prefix string) string { return host + "\x00" + prefix }
+
+func with[V any](m map[string]V, name string, v V) map[string]V {
+	m = maps.Clone(m)
+	m[name] = v
+	return m
+}
+
+func without[V any](m map[string]V, name string) map[string]V {
+	m = maps.Clone(m)
+	delete(m, name)
+	return m
+}
