--- a/mesh/meshkey/meshkey.go
+++ b/mesh/meshkey/meshkey.go
@@ -11,10 +11,10 @@
 //	k, err := meshkey.New("new secret", "old secret")
 //	listener := tls.NewListener(tcp, k.ServerTLS())
 //	conn := tls.Client(tcp, k.ClientTLS())
-//	mac := k.Sign(header, body)
 package meshkey
 
 import (
+	"crypto"
 	"crypto/ed25519"
 	"crypto/hmac"
 	"crypto/rand"
@@ -45,7 +45,6 @@
 type MeshKey struct {
 	certificate tls.Certificate
 	trusted     []ed25519.PublicKey
-	macKeys     [][]byte
 }
 
 // New derives a key from the secret in use and the secrets that are trusted
@@ -58,7 +57,6 @@
 		}
 		private := ed25519.NewKeyFromSeed(derive(s, "tls"))
 		k.trusted = append(k.trusted, private.Public().(ed25519.PublicKey))
-		k.macKeys = append(k.macKeys, derive(s, "mac"))
 		if i > 0 {
 			continue
 		}
@@ -89,24 +87,15 @@
 	}
 }
 
-// Sign returns an HMAC-SHA256 over the parts, each preceded by its length.
-func (k *MeshKey) Sign(parts ...[]byte) []byte { return sign(k.macKeys[0], parts) }
-
-// Verify reports whether mac is Sign of the parts under a trusted secret.
-func (k *MeshKey) Verify(mac []byte, parts ...[]byte) bool {
-	for _, key := range k.macKeys {
-		if hmac.Equal(mac, sign(key, parts)) {
-			return true
-		}
-	}
-	return false
-}
-
 func (k *MeshKey) verify(state tls.ConnectionState) error {
 	if len(state.PeerCertificates) == 0 {
 		return ErrPeer
 	}
-	shown, ok := state.PeerCertificates[0].PublicKey.(ed25519.PublicKey)
+	return k.verifyKey(state.PeerCertificates[0].PublicKey)
+}
+
+func (k *MeshKey) verifyKey(public crypto.PublicKey) error {
+	shown, ok := public.(ed25519.PublicKey)
 	if !ok {
 		return ErrPeer
 	}
@@ -118,16 +107,6 @@
 	return ErrPeer
 }
 
-func sign(key []byte, parts [][]byte) []byte {
-	h := hmac.New(sha256.New, key)
-	for _, p := range parts {
-		n := uint64(len(p))
-		h.Write([]byte{byte(n >> 56), byte(n >> 48), byte(n >> 40), byte(n >> 32), byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)})
-		h.Write(p)
-	}
-	return h.Sum(nil)
-}
-
 func derive(secret, purpose string) []byte {
 	h := hmac.New(sha256.New, []byte(secret))
 	h.Write([]byte("berylpass-mesh-" + purpose))
