--- /dev/null
+++ b/hop/forwarder/forwarder.go
@@ -0,0 +1,147 @@
+// Package forwarder sends requests from an ingress to the guards of other VMs.
+//
+// # Usage
+//
+//	f := forwarder.New(key.ClientTLS(), 16<<20)
+//	answer, err := f.Forward(ctx, guard.Data, envelope, request)
+//	switch {
+//	case errors.Is(err, forwarder.ErrNotSent): // the attempt has not run
+//	case err != nil: // the guard must be asked
+//	}
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"berylpass/hop"
+)
+
+// Bounds of the connections to guards.
+const (
+	dialTimeout         = 2 * time.Second
+	idleTimeout         = 90 * time.Second
+	idleConnections     = 64
+	maxResponseHeader   = 256 << 10
+	handshakeTimeout    = 2 * time.Second
+	connectionKeepAlive = 15 * time.Second
+)
+
+var (
+	// ErrNotSent reports that no byte of the request left this daemon.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrLost reports that the answer did not arrive whole; the attempt may have run.
+	ErrLost = errors.New("answer was lost")
+	// ErrMismatch reports an answer that belongs to another attempt.
+	ErrMismatch = errors.New("answer belongs to another attempt")
+)
+
+// Request is what the guard passes on to the backend server.
+type Request struct {
+	Method string
+	// Target is the path with the query, as it came.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is the guard's answer: the backend server's own if Report.Ending is hop.Ran.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Report hop.Report
+}
+
+// Forwarder holds the connections to guards.
+type Forwarder struct {
+	transport *http.Transport
+	maxAnswer int64
+}
+
+// New returns a forwarder that accepts answers of up to maxAnswer bytes.
+func New(config *tls.Config, maxAnswer int64) *Forwarder {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: connectionKeepAlive}
+	return &Forwarder{
+		maxAnswer: maxAnswer,
+		transport: &http.Transport{
+			DialContext:            dialer.DialContext,
+			TLSClientConfig:        config,
+			TLSHandshakeTimeout:    handshakeTimeout,
+			MaxIdleConnsPerHost:    idleConnections,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: maxResponseHeader,
+			DisableCompression:     true,
+		},
+	}
+}
+
+// Forward sends the request to the guard at address and waits for its answer or
+// the end of ctx. The connection is closed when ctx ends first.
+func (f *Forwarder) Forward(ctx context.Context, address string, e hop.Envelope, r Request) (Answer, error) {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	request, err := newRequest(ctx, address, e, r)
+	if err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	response, err := f.transport.RoundTrip(request)
+	if err != nil {
+		if !sent.Load() {
+			return Answer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return Answer{}, fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return f.read(response, e)
+}
+
+// Close closes the idle connections.
+func (f *Forwarder) Close() { f.transport.CloseIdleConnections() }
+
+func newRequest(ctx context.Context, address string, e hop.Envelope, r Request) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, r.Method, "https://"+address+r.Target, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	// A body of an unknown kind and without GetBody keeps the transport from
+	// sending the request a second time by itself.
+	request.Body, request.GetBody = io.NopCloser(bytes.NewReader(r.Body)), nil
+	request.Host = r.Host
+	request.Header = r.Header.Clone()
+	if request.Header == nil {
+		request.Header = http.Header{}
+	}
+	e.Write(request.Header)
+	return request, nil
+}
+
+func (f *Forwarder) read(response *http.Response, e hop.Envelope) (Answer, error) {
+	report, err := hop.ReadReport(response.Header)
+	if err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	if report.Attempt != e.Attempt {
+		return Answer{}, ErrMismatch
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, f.maxAnswer+1))
+	if err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	if int64(len(body)) > f.maxAnswer {
+		return Answer{}, fmt.Errorf("%w: over %d bytes", ErrLost, f.maxAnswer)
+	}
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Report: report}, nil
+}
--- /dev/null
+++ b/hop/report.go
@@ -0,0 +1,86 @@
+package hop
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"berylpass/attempt/id"
+)
+
+// Ending tells how an attempt ended at the guard.
+type Ending string
+
+// The endings.
+const (
+	// Ran means that the backend server ran the request and its whole answer follows.
+	Ran Ending = "ran"
+	// NotRun means that the attempt has not run and never will.
+	NotRun Ending = "not-run"
+	// Unknown means that the backend server may have run the request.
+	Unknown Ending = "unknown"
+)
+
+// Report tells the ingress how an attempt ended and how the backend server fares.
+type Report struct {
+	Attempt id.ID
+	Ending  Ending
+	// Reason says in kebab case why the ending is not Ran.
+	Reason string
+	// RetryAfter is set when the request may be welcome after that time.
+	RetryAfter time.Duration
+	// Incarnation and Clock are the guard's incarnation and its clock in milliseconds since its start.
+	Incarnation uint64
+	Clock       int64
+	Revision    uint64
+	// ServiceTime is how long the backend server took.
+	ServiceTime time.Duration
+	// InUse, Queued and Limit describe the backend server's load: requests that
+	// run, requests that wait, and how many may run at once.
+	InUse, Queued, Limit int
+	// Suspicion is the guard's own evidence against the backend server, from 0 to 1.
+	Suspicion float64
+}
+
+// Write sets the report's headers.
+func (p Report) Write(h http.Header) {
+	h.Set(Prefix+"Attempt", p.Attempt.String())
+	h.Set(Prefix+"Ending", string(p.Ending))
+	setText(h, "Reason", p.Reason)
+	h.Set(Prefix+"Retry-After-Ms", strconv.FormatInt(p.RetryAfter.Milliseconds(), 10))
+	h.Set(Prefix+"Incarnation", strconv.FormatUint(p.Incarnation, 10))
+	h.Set(Prefix+"Clock", strconv.FormatInt(p.Clock, 10))
+	h.Set(Prefix+"Revision", strconv.FormatUint(p.Revision, 10))
+	h.Set(Prefix+"Service-Us", strconv.FormatInt(p.ServiceTime.Microseconds(), 10))
+	h.Set(Prefix+"In-Use", strconv.Itoa(p.InUse))
+	h.Set(Prefix+"Queued", strconv.Itoa(p.Queued))
+	h.Set(Prefix+"Limit", strconv.Itoa(p.Limit))
+	h.Set(Prefix+"Suspicion", strconv.FormatFloat(p.Suspicion, 'f', 3, 64))
+}
+
+// ReadReport reads what Write wrote. Its error wraps ErrMalformed.
+func ReadReport(h http.Header) (Report, error) {
+	r := reader{header: h}
+	p := Report{
+		Ending:      Ending(h.Get(Prefix + "Ending")),
+		Reason:      r.text("Reason"),
+		RetryAfter:  time.Duration(r.signed("Retry-After-Ms")) * time.Millisecond,
+		Incarnation: r.unsigned("Incarnation"),
+		Clock:       r.signed("Clock"),
+		Revision:    r.unsigned("Revision"),
+		ServiceTime: time.Duration(r.signed("Service-Us")) * time.Microsecond,
+		InUse:       int(r.signed("In-Use")),
+		Queued:      int(r.signed("Queued")),
+		Limit:       int(r.signed("Limit")),
+	}
+	attempt, err := id.Parse(h.Get(Prefix + "Attempt"))
+	r.note("Attempt", err)
+	p.Attempt = attempt
+	suspicion, err := strconv.ParseFloat(h.Get(Prefix+"Suspicion"), 64)
+	r.note("Suspicion", err)
+	p.Suspicion = suspicion
+	if p.Ending != Ran && p.Ending != NotRun && p.Ending != Unknown {
+		r.note("Ending", ErrMalformed)
+	}
+	return p, r.err
+}
