Read and check a daemon's settings

Settings are one table a section: the reader, the check that reports every mistake in one go and docs/SETTINGS.md come from it, and a test holds the page to the table. document reads INI strictly (keys outside a section, sections and keys that stand twice are mistakes); field declares keys for any INI section, so release notes will use it too. A secret is never repeated in a mistake.

FuzzParse with -fuzztime 20s -fuzzminimizetime 1x -parallel 2 found no panic.

--- /dev/null
+++ b/config/field/kinds.go
@@ -0,0 +1,159 @@
+package field
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// maxName is the greatest length of a name in bytes.
+const maxName = 63
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
+
+// NameAllowed says what IsName takes.
+const NameAllowed = "a kebab-case name of at most 63 letters a-z, digits and hyphens"
+
+// IsName reports whether text is a name: kebab case, at most 63 bytes.
+func IsName(text string) bool { return len(text) <= maxName && namePattern.MatchString(text) }
+
+// Of returns a field whose parser reports whether the value is allowed.
+func Of[T, V any](key, allowed string, to func(*T) *V, parse func(string) (V, bool)) Field[T] {
+	return Field[T]{Key: key, Allowed: allowed, Set: func(target *T, text string) bool {
+		v, ok := parse(text)
+		if ok {
+			*to(target) = v
+		}
+		return ok
+	}}
+}
+
+// Name returns a field that takes a name.
+func Name[T any](key string, to func(*T) *string) Field[T] {
+	return Of(key, NameAllowed, to, func(text string) (string, bool) { return text, IsName(text) })
+}
+
+// Text returns a field that takes any text of 1 to limit bytes.
+func Text[T any](key string, limit int, to func(*T) *string) Field[T] {
+	return Of(key, fmt.Sprintf("text of 1 to %d bytes", limit), to, func(text string) (string, bool) {
+		return text, text != "" && len(text) <= limit
+	})
+}
+
+// Choice returns a field that takes one of the words.
+func Choice[T any](key string, to func(*T) *string, words ...string) Field[T] {
+	return Of(key, strings.Join(words, ", "), to, func(text string) (string, bool) {
+		for _, w := range words {
+			if w == text {
+				return text, true
+			}
+		}
+		return "", false
+	})
+}
+
+// Flag returns a field that takes yes or no.
+func Flag[T any](key string, to func(*T) *bool) Field[T] {
+	return Of(key, "yes or no", to, func(text string) (bool, bool) {
+		return text == "yes", text == "yes" || text == "no"
+	})
+}
+
+// Integer returns a field that takes a whole number from low to high.
+func Integer[T any](key string, low, high int, to func(*T) *int) Field[T] {
+	return Of(key, fmt.Sprintf("a whole number from %d to %d", low, high), to, func(text string) (int, bool) {
+		n, err := strconv.Atoi(text)
+		return n, err == nil && n >= low && n <= high
+	})
+}
+
+// Number returns a field that takes a number from low to high.
+func Number[T any](key string, low, high float64, to func(*T) *float64) Field[T] {
+	return Of(key, fmt.Sprintf("a number from %g to %g", low, high), to, func(text string) (float64, bool) {
+		x, err := strconv.ParseFloat(text, 64)
+		return x, err == nil && !math.IsNaN(x) && x >= low && x <= high
+	})
+}
+
+// Duration returns a field that takes a duration with its unit, such as 1m30s.
+func Duration[T any](key string, low, high time.Duration, to func(*T) *time.Duration) Field[T] {
+	allowed := fmt.Sprintf("a duration with its unit (ms, s, m, h) from %s to %s", shorten(low), shorten(high))
+	return Of(key, allowed, to, func(text string) (time.Duration, bool) {
+		d, err := time.ParseDuration(text)
+		return d, err == nil && d >= low && d <= high
+	})
+}
+
+// shorten drops the zero units that Duration.String writes: 1h0m0s becomes 1h.
+func shorten(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+var sizeUnits = []struct {
+	name  string
+	bytes int64
+}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+// Size returns a field that takes a size with its unit, such as 32MiB, in bytes.
+func Size[T any](key string, low, high int64, to func(*T) *int64) Field[T] {
+	allowed := fmt.Sprintf("a size with its unit (B, KiB, MiB, GiB) from %s to %s", formatSize(low), formatSize(high))
+	return Of(key, allowed, to, func(text string) (int64, bool) {
+		n, ok := parseSize(text)
+		return n, ok && n >= low && n <= high
+	})
+}
+
+func parseSize(text string) (int64, bool) {
+	for _, u := range sizeUnits {
+		digits, found := strings.CutSuffix(text, u.name)
+		if !found {
+			continue
+		}
+		n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 64)
+		return n * u.bytes, err == nil && n >= 0 && n <= math.MaxInt64/u.bytes
+	}
+	return 0, false
+}
+
+func formatSize(n int64) string {
+	for _, u := range sizeUnits {
+		if n >= u.bytes && n%u.bytes == 0 {
+			return fmt.Sprintf("%d%s", n/u.bytes, u.name)
+		}
+	}
+	return fmt.Sprintf("%dB", n)
+}
+
+// Address returns a field that takes IP:port; accept narrows the IP and is named by allowed.
+func Address[T any](key, allowed string, accept func(netip.Addr) bool, to func(*T) *string) Field[T] {
+	return Of(key, allowed, to, func(text string) (string, bool) {
+		a, err := netip.ParseAddrPort(text)
+		return text, err == nil && accept(a.Addr())
+	})
+}
+
+// List returns a field that takes values separated by commas, each checked by accept.
+func List[T any](key, allowed string, accept func(string) bool, to func(*T) *[]string) Field[T] {
+	return Of(key, allowed, to, func(text string) ([]string, bool) {
+		var items []string
+		for item := range strings.SplitSeq(text, ",") {
+			item = strings.TrimSpace(item)
+			if !accept(item) {
+				return nil, false
+			}
+			items = append(items, item)
+		}
+		return items, true
+	})
+}
--- /dev/null
+++ b/config/settings/check.go
@@ -0,0 +1,71 @@
+package settings
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"strings"
+
+	"berylpass/config/document"
+	"berylpass/config/field"
+	"berylpass/config/mistake"
+)
+
+const ownerAllowed = "a base64 Ed25519 public key, as `berylpass keygen` prints it"
+
+func readOwners(s *Settings, file string, section document.Section) mistake.List {
+	var found mistake.List
+	names := map[string]string{}
+	for _, e := range section.Entries {
+		raw, err := base64.StdEncoding.DecodeString(e.Value)
+		switch {
+		case !field.IsName(e.Key):
+			found = found.With(file, ownersSection, e.Key, "the owner's name is not allowed; allowed is "+field.NameAllowed)
+		case err != nil || len(raw) != ed25519.PublicKeySize:
+			found = found.With(file, ownersSection, e.Key, "the value is not allowed; allowed is "+ownerAllowed)
+		case names[string(raw)] != "":
+			found = found.With(file, ownersSection, e.Key, "the key is also that of "+names[string(raw)]+"; allowed are different keys")
+		default:
+			names[string(raw)] = e.Key
+			s.Owners[e.Key] = raw
+		}
+	}
+	if len(section.Entries) < MinOwners {
+		found = found.With(file, ownersSection, "", fmt.Sprintf("%d owners are given; allowed are at least %d, one a line as name = public key", len(section.Entries), MinOwners))
+	}
+	return found
+}
+
+// checkWhole checks what concerns several keys.
+func checkWhole(s Settings, file string) mistake.List {
+	var found mistake.List
+	if (s.TLS.Certificate == "") != (s.TLS.Key == "") {
+		found = found.With(file, "tls", "", "one of certificate and key is given; allowed are both or none")
+	}
+	if s.Limits.QueuePerOrganisation > s.Limits.QueuePerBackend {
+		found = found.With(file, "limits", "queue-per-organisation", "the value is above queue-per-backend; allowed is at most that")
+	}
+	return append(found, checkAddresses(s, file)...)
+}
+
+// anyPort ends an address whose port the system chooses.
+const anyPort = ":0"
+
+func checkAddresses(s Settings, file string) mistake.List {
+	var found mistake.List
+	seen := map[string]string{}
+	for _, l := range []struct{ key, address string }{
+		{"callers", s.Listen.Callers}, {"control", s.Listen.Control}, {"data", s.Listen.Data},
+		{"backends", s.Listen.Backends}, {"operators", s.Listen.Operators},
+	} {
+		if l.address == "" || strings.HasSuffix(l.address, anyPort) {
+			continue
+		}
+		if first, ok := seen[l.address]; ok {
+			found = found.With(file, "listen", l.key, fmt.Sprintf("the address %s is also that of %s; allowed are different ones", l.address, first))
+			continue
+		}
+		seen[l.address] = l.key
+	}
+	return found
+}
--- /dev/null
+++ b/config/settings/settings.go
@@ -0,0 +1,116 @@
+// Package settings reads the settings of one daemon from an INI file.
+//
+// Settings say where a daemon runs, on which addresses it listens, how it proves
+// itself to its peers, where the platform is and whose signatures count.
+// Everything else is configuration, which reaches daemons by release notes.
+// The file is checked as a whole and every mistake is reported at once.
+// docs/SETTINGS.md lists the keys and is held to this package by a test.
+//
+// # Usage
+//
+//	s, err := settings.Load("daemon.ini")
+//	if errors.Is(err, mistake.ErrInvalid) { fmt.Fprintln(os.Stderr, err) }
+package settings
+
+import (
+	"crypto/ed25519"
+	"os"
+	"time"
+
+	"berylpass/config/document"
+)
+
+// MinOwners is the least number of owners: two different ones sign each release note.
+const MinOwners = 2
+
+// Settings is what one daemon is told at its start.
+type Settings struct {
+	Daemon   Daemon
+	Listen   Listen
+	Mesh     Mesh
+	Platform Platform
+	// Owners are the public keys whose signatures count, by name.
+	Owners   map[string]ed25519.PublicKey
+	Limits   Limits
+	Shutdown Shutdown
+	TLS      TLS
+	Log      Log
+}
+
+// Daemon says who the daemon is.
+type Daemon struct{ ID, Datacentre, Region string }
+
+// Listen is the addresses, IP:port, on which the daemon listens.
+type Listen struct{ Callers, Control, Data, Backends, Operators string }
+
+// Mesh is how daemons of the fleet prove themselves to each other and first meet.
+type Mesh struct {
+	Secret             string
+	AlsoTrustedSecrets []string
+	// Seeds are control addresses, IP:port, to join by while the store is away.
+	Seeds []string
+}
+
+// Platform is where the platform's object API is.
+type Platform struct {
+	URL     string
+	Timeout time.Duration
+}
+
+// Limits bounds what the daemon holds for requests. Sizes are in bytes.
+type Limits struct {
+	MaxBody   int64
+	MaxHeader int64
+	// QueuePerBackend and QueuePerOrganisation are numbers of waiting requests.
+	QueuePerBackend      int
+	QueuePerOrganisation int
+	// CallerConnections is the number of callers' connections open at once.
+	CallerConnections int
+}
+
+// Shutdown is how the daemon ends.
+type Shutdown struct{ Grace time.Duration }
+
+// TLS names the files, in PEM, for the callers' port; empty for plain HTTP.
+type TLS struct{ Certificate, Key string }
+
+// Log is what the daemon logs.
+type Log struct{ Level string }
+
+// Load reads and checks a file.
+func Load(file string) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(file, text)
+}
+
+// Parse reads and checks the text of a file. Its error is a mistake.List.
+func Parse(file string, text []byte) (Settings, error) {
+	d, found := document.Parse(file, text)
+	if len(d.Sections) == 0 && len(found) > 0 {
+		return Settings{}, found.Err()
+	}
+	s := Settings{Owners: map[string]ed25519.PublicKey{}}
+	given := map[string]document.Section{}
+	for _, section := range d.Sections {
+		given[section.Name] = section
+		if !known(section.Name) {
+			found = found.With(file, section.Name, "", "unknown section; allowed are "+sectionNames())
+		}
+	}
+	for _, g := range groups {
+		section, ok := given[g.name]
+		if !ok {
+			section = document.Section{Name: g.name}
+		}
+		found = append(found, g.read(&s, file, section)...)
+	}
+	found = append(found, readOwners(&s, file, given[ownersSection])...)
+	found = append(found, checkWhole(s, file)...)
+	if len(found) > 0 {
+		return Settings{}, found
+	}
+	return s, nil
+}
--- /dev/null
+++ b/config/settings/settings_test.go
@@ -0,0 +1,94 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"berylpass/config/mistake"
+)
+
+var update = flag.Bool("update", false, "write golden files and docs/SETTINGS.md")
+
+func golden(t *testing.T, file, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s differs (-update writes it); got:\n%s", file, got)
+	}
+}
+
+func TestWholeFile(t *testing.T) {
+	s, err := Load("testdata/whole.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	golden(t, "testdata/whole.json", string(text)+"\n")
+}
+
+func TestEveryMistakeIsReportedAtOnce(t *testing.T) {
+	s, err := Load("testdata/mistakes.ini")
+	if !errors.Is(err, mistake.ErrInvalid) || s.Daemon.Datacentre != "" {
+		t.Fatalf("got %v, %+v; want mistakes and no settings", err, s)
+	}
+	if strings.Contains(err.Error(), "too-short") {
+		t.Error("the mistakes repeat the secret")
+	}
+	golden(t, "testdata/mistakes.txt", err.Error()+"\n")
+}
+
+func TestEmptyFileNamesWhatIsMissing(t *testing.T) {
+	_, err := Parse("daemon.ini", nil)
+	golden(t, "testdata/empty.txt", fmt.Sprintln(err))
+}
+
+func TestPageMatchesTable(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Settings\n\nEach daemon reads one INI file at its start; `berylpass check FILE` reports every mistake in it.\n")
+	b.WriteString("Comments start with `#` or `;` at the start of a line or after a space. Written by `go test ./config/settings -update`.\n")
+	for _, g := range groups {
+		fmt.Fprintf(&b, "\n## [%s]\n\n| key | meaning | allowed | default |\n| --- | --- | --- | --- |\n", g.name)
+		for _, f := range g.table {
+			standard := f.Default
+			if f.Required {
+				standard = "required"
+			}
+			fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", f.Key, f.Meaning, f.Allowed, standard)
+		}
+	}
+	fmt.Fprintf(&b, "\n## [%s]\n\nOne line for each owner, at least %d: `name = public key`. ", ownersSection, MinOwners)
+	b.WriteString("The name is in kebab case; the key is " + ownerAllowed + ". Two different owners sign each release note.\n")
+	golden(t, "../../docs/SETTINGS.md", b.String())
+}
+
+func FuzzParse(f *testing.F) {
+	for _, file := range []string{"testdata/whole.ini", "testdata/mistakes.ini"} {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Add([]byte("[a\n= \"\"\"x\n[a]\n-=`"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if _, err := Parse("x.ini", text); err != nil && !errors.Is(err, mistake.ErrInvalid) {
+			t.Errorf("got %v, want mistakes", err)
+		}
+	})
+}
--- /dev/null
+++ b/config/settings/table.go
@@ -0,0 +1,139 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"berylpass/config/document"
+	"berylpass/config/field"
+	"berylpass/config/mistake"
+	"berylpass/mesh/meshkey"
+)
+
+// group is a section with fixed keys.
+type group struct {
+	name  string
+	table field.Table[Settings]
+}
+
+func (g group) read(s *Settings, file string, section document.Section) mistake.List {
+	g.table.Defaults(s)
+	found := g.table.Read(s, file, section)
+	return append(found, g.table.Missing(file, section)...)
+}
+
+const ownersSection = "owners"
+
+var groups = []group{
+	{"daemon", field.Table[Settings]{
+		field.Name("id", func(s *Settings) *string { return &s.Daemon.ID }).WithRequired().
+			WithMeaning("Name of the daemon, unique in the fleet; it stays the same over restarts."),
+		field.Name("datacentre", func(s *Settings) *string { return &s.Daemon.Datacentre }).WithRequired().
+			WithMeaning("Data centre of the VM, as release notes name it."),
+		field.Name("region", func(s *Settings) *string { return &s.Daemon.Region }).WithRequired().
+			WithMeaning("Region of the data centre."),
+	}},
+	{"listen", field.Table[Settings]{
+		field.Address("callers", anyAllowed, anyAddress, func(s *Settings) *string { return &s.Listen.Callers }).WithRequired().
+			WithMeaning("Callers' HTTP requests."),
+		field.Address("control", ownAllowed, ownAddress, func(s *Settings) *string { return &s.Listen.Control }).WithRequired().
+			WithMeaning("Calls from other daemons. Peers are told this address."),
+		field.Address("data", ownAllowed, ownAddress, func(s *Settings) *string { return &s.Listen.Data }).WithRequired().
+			WithMeaning("Requests forwarded by other daemons. Peers are told this address."),
+		field.Address("backends", loopbackAllowed, netip.Addr.IsLoopback, func(s *Settings) *string { return &s.Listen.Backends }).
+			WithDefault("127.0.0.1:7003").WithMeaning("Announcements of the backend servers on the same VM."),
+		field.Address("operators", anyAllowed, anyAddress, func(s *Settings) *string { return &s.Listen.Operators }).
+			WithDefault("127.0.0.1:7004").WithMeaning("Status, metrics and the burn report. It has no authentication: keep it inside."),
+	}},
+	{"mesh", field.Table[Settings]{
+		field.Of("secret", secretAllowed, func(s *Settings) *string { return &s.Mesh.Secret }, parseSecret).WithRequired().WithHidden().
+			WithMeaning("Secret that all daemons of the fleet share."),
+		field.List("also-trusted-secrets", "secrets of at least 16 bytes, separated by commas", isSecret,
+			func(s *Settings) *[]string { return &s.Mesh.AlsoTrustedSecrets }).WithHidden().
+			WithMeaning("Secrets trusted besides, during a rotation."),
+		field.List("seeds", "addresses IP:port, separated by commas", isAddress,
+			func(s *Settings) *[]string { return &s.Mesh.Seeds }).
+			WithMeaning("Control addresses of daemons to join by while the store is away."),
+	}},
+	{"platform", field.Table[Settings]{
+		field.Of("url", "a URL that starts with http:// or https:// and names a host", func(s *Settings) *string { return &s.Platform.URL }, parseURL).WithRequired().
+			WithMeaning("The platform's object API."),
+		field.Duration("timeout", 100*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.Platform.Timeout }).
+			WithDefault("2s").WithMeaning("Time for one call to the platform; watches wait longer."),
+	}},
+	{"limits", field.Table[Settings]{
+		field.Size("max-body", 1<<10, 1<<30, func(s *Settings) *int64 { return &s.Limits.MaxBody }).
+			WithDefault("32MiB").WithMeaning("Largest body of a request or an answer."),
+		field.Size("max-header", 1<<10, 1<<20, func(s *Settings) *int64 { return &s.Limits.MaxHeader }).
+			WithDefault("32KiB").WithMeaning("Largest header of a request or an answer."),
+		field.Integer("queue-per-backend", 1, 100000, func(s *Settings) *int { return &s.Limits.QueuePerBackend }).
+			WithDefault("64").WithMeaning("Requests that wait for one backend server."),
+		field.Integer("queue-per-organisation", 1, 100000, func(s *Settings) *int { return &s.Limits.QueuePerOrganisation }).
+			WithDefault("32").WithMeaning("Requests of one organisation that wait for one backend server."),
+		field.Integer("caller-connections", 1, 1000000, func(s *Settings) *int { return &s.Limits.CallerConnections }).
+			WithDefault("20000").WithMeaning("Callers' connections open at once; further ones are closed."),
+	}},
+	{"shutdown", field.Table[Settings]{
+		field.Duration("grace", 0, time.Hour, func(s *Settings) *time.Duration { return &s.Shutdown.Grace }).
+			WithDefault("30s").WithMeaning("Time for work in flight after SIGTERM, before the daemon ends anyway."),
+	}},
+	{"tls", field.Table[Settings]{
+		field.Text("certificate", maxPath, func(s *Settings) *string { return &s.TLS.Certificate }).
+			WithMeaning("PEM file with the certificate chain of the callers' port. Without it the port speaks plain HTTP."),
+		field.Text("key", maxPath, func(s *Settings) *string { return &s.TLS.Key }).
+			WithMeaning("PEM file with the certificate's private key."),
+	}},
+	{"log", field.Table[Settings]{
+		field.Choice("level", func(s *Settings) *string { return &s.Log.Level }, "debug", "info", "warn", "error").
+			WithDefault("info").WithMeaning("Least level that is logged."),
+	}},
+}
+
+// maxPath is the greatest length of a path in bytes.
+const maxPath = 4096
+
+const (
+	anyAllowed      = "IP:port"
+	ownAllowed      = "IP:port with an IP of this VM, not 0.0.0.0 or [::]"
+	loopbackAllowed = "IP:port with a loopback IP"
+	secretAllowed   = "text of at least 16 bytes without commas"
+)
+
+func anyAddress(netip.Addr) bool { return true }
+
+func ownAddress(a netip.Addr) bool { return !a.IsUnspecified() }
+
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
+func isSecret(text string) bool {
+	return len(text) >= meshkey.MinSecretLength && !strings.Contains(text, ",")
+}
+
+func parseSecret(text string) (string, bool) { return text, isSecret(text) }
+
+func parseURL(text string) (string, bool) {
+	u, err := url.Parse(text)
+	return text, err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
+
+func known(name string) bool {
+	for _, g := range groups {
+		if g.name == name {
+			return true
+		}
+	}
+	return name == ownersSection
+}
+
+func sectionNames() string {
+	names := make([]string, 0, len(groups)+1)
+	for _, g := range groups {
+		names = append(names, g.name)
+	}
+	return strings.Join(append(names, ownersSection), ", ")
+}
