--- /dev/null
+++ b/choice/picker/judge.go
@@ -0,0 +1,173 @@
+package picker
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"berylpass/choice/probation"
+	"berylpass/config/class"
+)
+
+const (
+	// reportLife is the age up to which a report counts.
+	reportLife = time.Minute
+	// minSamples is the least number of samples of a level that counts.
+	minSamples = 4
+	// minSpread is the least spread that levels are credited with.
+	minSpread = 0.3
+	// madScale makes the median absolute deviation comparable to a standard deviation.
+	madScale = 1.4826
+	// madLimit is the number of such deviations of the peers that an outlier exceeds.
+	madLimit = 4
+	// slowSigmas is the number of standard errors that an outlier exceeds.
+	slowSigmas = 5.5
+	// failingEvidence is the evidence of errors, in nats, that makes an outlier.
+	failingEvidence = 14
+	// failingPeers is the evidence of errors at the median peer from which errors are common to all.
+	failingPeers = 7
+	// passSigmas is the number of standard errors within which a trial is passed.
+	passSigmas = 3
+)
+
+var (
+	// slowRatio and passRatio are the ratios to the peers' level, as logarithms,
+	// that an outlier exceeds and that a passed trial keeps below.
+	slowRatio = math.Log(2.2)
+	passRatio = math.Log(1.6)
+)
+
+// comparison is how a backend server compares with its peers.
+type comparison struct {
+	// ratio is the logarithm of its level over that of the peers, error its standard error.
+	ratio, sigma float64
+	// deviation is the scaled median absolute deviation of the peers.
+	deviation float64
+	// peers is the logarithmic level of the peers, averaged over the classes.
+	peers float64
+	known bool
+}
+
+// slow reports whether the comparison shows an outlier.
+func (c comparison) slow() bool {
+	return c.known && c.ratio >= max(slowRatio, madLimit*c.deviation) && c.ratio >= slowSigmas*c.sigma
+}
+
+// usual reports whether the comparison shows nothing unusual.
+func (c comparison) usual() bool {
+	return !c.known || c.ratio < passRatio || c.ratio < passSigmas*c.sigma
+}
+
+// baseline holds the sorted logarithmic levels and errors of a group.
+type baseline struct {
+	levels [class.Count][]float64
+	errors []float64
+	// stalled and reported count servers with fresh reports.
+	stalled, reported int
+}
+
+// baseline collects what the fresh reports say.
+func (g *group) baseline(now time.Time) baseline {
+	var b baseline
+	for _, s := range g.servers {
+		if !s.serving() || !s.fresh(now) {
+			continue
+		}
+		b.errors = append(b.errors, s.report.Errors)
+		b.reported++
+		if s.report.Stalled > 0 {
+			b.stalled++
+		}
+		for c, l := range s.report.Levels {
+			if l.Samples >= minSamples {
+				b.levels[c] = append(b.levels[c], math.Log(float64(l.Time)))
+			}
+		}
+	}
+	slices.Sort(b.errors)
+	for c := range b.levels {
+		slices.Sort(b.levels[c])
+	}
+	return b
+}
+
+// fresh reports whether the report of s counts.
+func (s *server) fresh(now time.Time) bool {
+	return !s.reportAt.IsZero() && now.Sub(s.reportAt) <= reportLife
+}
+
+// compare sets the levels of s against those of its peers, averaged over the classes by samples.
+func (s *server) compare(b baseline) comparison {
+	var weight, ratio, variance, deviation, peers float64
+	for c, l := range s.report.Levels {
+		if l.Samples < minSamples || len(b.levels[c]) < 2 {
+			continue
+		}
+		x := math.Log(float64(l.Time))
+		others := without(b.levels[c], x)
+		m := median(others)
+		weight += l.Samples
+		ratio += l.Samples * (x - m)
+		peers += l.Samples * m
+		spread := max(l.Spread, minSpread)
+		variance += l.Samples * spread * spread
+		deviation += l.Samples * scatter(others, m)
+	}
+	if weight == 0 {
+		return comparison{}
+	}
+	return comparison{
+		ratio:     ratio / weight,
+		sigma:     math.Sqrt(variance) / weight,
+		deviation: madScale * deviation / weight,
+		peers:     peers / weight,
+		known:     true,
+	}
+}
+
+// suspicion returns what speaks against s at the time now.
+func (s *server) suspicion(now time.Time, b baseline, c comparison) Reason {
+	if n, _ := s.silent(now); n >= silentRequests && s.path.probation.State == probation.Clear {
+		return Stalled
+	}
+	if !s.fresh(now) {
+		return None
+	}
+	switch {
+	case s.report.Stalled > 0 && 2*b.stalled <= b.reported+1:
+		return Stalled
+	case s.report.Errors >= failingEvidence && median(without(b.errors, s.report.Errors)) < failingPeers:
+		return Failing
+	case c.slow():
+		return Slow
+	}
+	return None
+}
+
+// without returns the sorted values less one that equals x.
+func without(sorted []float64, x float64) []float64 {
+	at, found := slices.BinarySearch(sorted, x)
+	if !found {
+		return sorted
+	}
+	return slices.Delete(slices.Clone(sorted), at, at+1)
+}
+
+// median returns the median of sorted values, zero if there are none.
+func median(sorted []float64) float64 {
+	n := len(sorted)
+	if n == 0 {
+		return 0
+	}
+	return (sorted[(n-1)/2] + sorted[n/2]) / 2
+}
+
+// scatter returns the median absolute deviation from m.
+func scatter(values []float64, m float64) float64 {
+	deviations := make([]float64, 0, len(values))
+	for _, v := range values {
+		deviations = append(deviations, math.Abs(v-m))
+	}
+	slices.Sort(deviations)
+	return median(deviations)
+}
--- /dev/null
+++ b/choice/picker/pick.go
@@ -0,0 +1,100 @@
+package picker
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"berylpass/fleet/backend"
+)
+
+// ErrNoBackend reports a service without a backend server that may take the request.
+var ErrNoBackend = errors.New("no backend server takes work")
+
+const (
+	// loadLife is the time constant with which a reported load loses weight.
+	loadLife = 2 * time.Second
+	// remotePenalty is the load, as a share of the limit, by which a backend
+	// server in the own data centre may exceed one elsewhere.
+	remotePenalty = 0.25
+	// trialShare is the share of the usual traffic that a backend server on trial gets.
+	trialShare = 0.25
+)
+
+// Pick returns a backend server of the service for one attempt. It draws two at
+// random and takes the less loaded. Those in exclude are not returned. Its error
+// is ErrNoBackend.
+func (p *Picker) Pick(now time.Time, service string, exclude []backend.ID) (backend.ID, error) {
+	g := p.groups[service]
+	if g == nil {
+		return "", fmt.Errorf("%w: service %q is unknown", ErrNoBackend, service)
+	}
+	if s := p.pickTrial(g, exclude); s != nil {
+		return s.backend.ID, nil
+	}
+	kept := g.kept
+	if len(exclude) > 0 {
+		kept = allowed(kept, exclude)
+	}
+	switch len(kept) {
+	case 0:
+		return "", fmt.Errorf("%w of service %q, %d excluded", ErrNoBackend, service, len(exclude))
+	case 1:
+		return kept[0].backend.ID, nil
+	}
+	i := p.random.IntN(len(kept))
+	j := p.random.IntN(len(kept) - 1)
+	if j >= i {
+		j++
+	}
+	if kept[j].cost(now) < kept[i].cost(now) {
+		i = j
+	}
+	return kept[i].backend.ID, nil
+}
+
+// pickTrial returns now and then a backend server on trial that has no own request in flight.
+func (p *Picker) pickTrial(g *group, exclude []backend.ID) *server {
+	n := len(g.trials)
+	if n == 0 {
+		return nil
+	}
+	share := trialShare * float64(n) / float64(n+len(g.kept))
+	if p.random.Float64() >= share {
+		return nil
+	}
+	s := g.trials[p.random.IntN(n)]
+	if len(s.flights) > 0 || slices.Contains(exclude, s.backend.ID) {
+		return nil
+	}
+	return s
+}
+
+// allowed returns the servers that are not excluded.
+func allowed(servers []*server, exclude []backend.ID) []*server {
+	rest := make([]*server, 0, len(servers))
+	for _, s := range servers {
+		if !slices.Contains(exclude, s.backend.ID) {
+			rest = append(rest, s)
+		}
+	}
+	return rest
+}
+
+// cost returns the expected load of s after one more request, as a share of its limit.
+func (s *server) cost(now time.Time) float64 {
+	others := float64(s.report.InUse + s.report.Queued - s.ownAtReport)
+	age := float64(now.Sub(s.reportAt)) / float64(loadLife)
+	load := float64(len(s.flights)) + max(others, 0)*math.Exp(-age)
+	limit := s.slots()
+	if s.fresh(now) && s.report.Limit > 0 {
+		limit = s.report.Limit
+	}
+	c := (load + 1) / float64(limit)
+	if !s.sameDatacentre {
+		c += remotePenalty
+	}
+	return c
+}
--- /dev/null
+++ b/choice/picker/table.go
@@ -0,0 +1,173 @@
+package picker
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"berylpass/attempt/id"
+	"berylpass/choice/evidence"
+	"berylpass/choice/floor"
+	"berylpass/choice/probation"
+	"berylpass/choice/report"
+	"berylpass/config/class"
+	"berylpass/config/service"
+	"berylpass/fleet/backend"
+	"berylpass/fleet/member"
+)
+
+// flight is an attempt that has no answer yet.
+type flight struct {
+	attempt id.ID
+	class   class.Class
+	sent    time.Time
+}
+
+// record is the history of suspicion against a backend server or a path.
+type record struct {
+	probation probation.Probation
+	reason    Reason
+	// suspect is the reason that holds at present and is not yet confirmed.
+	suspect Reason
+	// badSince is when the suspicion began.
+	badSince time.Time
+	// ejectedAt is when the last ejection began.
+	ejectedAt time.Time
+	// good and bad count results of own requests during a trial.
+	good, bad int
+}
+
+// server is a row of the table of backend servers.
+type server struct {
+	record
+	backend        backend.Backend
+	datacentre     string
+	sameDatacentre bool
+	inService      bool
+	group          *group
+	path           *path
+
+	report   report.Report
+	reportAt time.Time
+	// ownAtReport is the number of own requests in flight when the report came.
+	ownAtReport int
+	// completedAtTrial is the guard's count of completed requests when the trial began.
+	completedAtTrial uint16
+	// peersAtEjection is the logarithmic level of the peers at the ejection.
+	peersAtEjection float64
+
+	flights    []flight
+	lastAnswer time.Time
+	lastPick   time.Time
+	lastProbe  time.Time
+	kept       bool
+}
+
+// path is a row of the table of paths to guards.
+type path struct {
+	record
+	member     member.ID
+	servers    []*server
+	misses     int
+	lastAnswer time.Time
+}
+
+// group is a row of the table of services.
+type group struct {
+	service service.Service
+	// servers are all backend servers of the service by ID.
+	servers []*server
+	// kept take work; trials take little.
+	kept, trials []*server
+	// took are the times to an answer at this ingress.
+	took *evidence.Evidence
+}
+
+func newGroup(s service.Service) *group {
+	return &group{service: s, took: evidence.New()}
+}
+
+// insert adds s in the order of IDs.
+func (g *group) insert(s *server, name backend.ID) {
+	at, _ := slices.BinarySearchFunc(g.servers, name, func(o *server, n backend.ID) int {
+		return strings.Compare(string(o.backend.ID), string(n))
+	})
+	s.backend.ID = name
+	g.servers = slices.Insert(g.servers, at, s)
+}
+
+// rebuild works out which servers take work. The floor has the last word.
+func (g *group) rebuild() {
+	candidates := make([]floor.Candidate, 0, len(g.servers))
+	for _, s := range g.servers {
+		s.kept = false
+		if s.serving() {
+			candidates = append(candidates, floor.Candidate{ID: s.backend.ID, Slots: s.slots(), Badness: s.badness()})
+		}
+	}
+	for _, c := range floor.New(g.service.Floor).Keep(candidates) {
+		at, _ := slices.BinarySearchFunc(g.servers, c.ID, func(o *server, n backend.ID) int {
+			return strings.Compare(string(o.backend.ID), string(n))
+		})
+		g.servers[at].kept = true
+	}
+	g.kept, g.trials = g.kept[:0], g.trials[:0]
+	for _, s := range g.servers {
+		switch {
+		case s.kept:
+			g.kept = append(g.kept, s)
+		case s.serving() && s.onTrial():
+			g.trials = append(g.trials, s)
+		}
+	}
+}
+
+// serving reports whether s is healthy capacity: it serves and is in service.
+func (s *server) serving() bool {
+	return s.inService && s.backend.State == backend.Serving
+}
+
+// slots returns the capacity of s.
+func (s *server) slots() int {
+	switch {
+	case s.backend.Slots > 0:
+		return s.backend.Slots
+	case s.group.service.Slots > 0:
+		return s.group.service.Slots
+	}
+	return 1
+}
+
+// badness ranks s for the floor: zero if nothing speaks against it.
+func (s *server) badness() float64 {
+	return max(s.rank(), s.path.rank())
+}
+
+// rank orders records for the floor: a trial before every ejection, then by reason.
+func (r record) rank() float64 {
+	switch r.probation.State {
+	case probation.Clear:
+		return 0
+	case probation.OnTrial:
+		return 1
+	}
+	return 1 + float64(r.reason)
+}
+
+// onTrial reports whether s may get a few requests: no part of it is ejected.
+func (s *server) onTrial() bool {
+	own, way := s.probation.State, s.path.probation.State
+	return own != probation.Ejected && way != probation.Ejected && (own == probation.OnTrial || way == probation.OnTrial)
+}
+
+// restart clears what is known of an earlier incarnation.
+func (s *server) restart(now time.Time) {
+	s.record = record{}
+	s.report, s.reportAt = report.Report{}, time.Time{}
+	s.lastAnswer = now
+}
+
+// takeReport stores what the guard measured.
+func (s *server) takeReport(now time.Time, r report.Report) {
+	s.report, s.reportAt, s.ownAtReport = r, now, len(s.flights)
+}
--- /dev/null
+++ b/choice/report/codec.go
@@ -0,0 +1,101 @@
+package report
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+)
+
+// ErrMalformed reports bytes that are not a report.
+var ErrMalformed = errors.New("malformed report")
+
+const (
+	// size is the length of a packed report in bytes.
+	size = 17
+	// stepsPerOctave is the precision of packed durations and counts: 9%.
+	stepsPerOctave = 8
+	// spreadSteps is the number of packed steps per unit of spread.
+	spreadSteps = 50
+	// errorSteps is the number of packed steps per nat of error evidence.
+	errorSteps = 4
+)
+
+// MarshalBinary packs the report into 17 bytes. Durations are rounded by at most 9%.
+func (r Report) MarshalBinary() ([]byte, error) {
+	data := make([]byte, 0, size)
+	data = append(data, packCount(r.InUse), packCount(r.Queued), packCount(r.Limit), packCount(r.Slots))
+	for _, l := range r.Levels {
+		data = append(data, packLog(float64(l.Time.Microseconds())), packStep(l.Spread, spreadSteps), packLog(l.Samples))
+	}
+	data = append(data, packStep(r.Errors, errorSteps), packLog(float64(r.Stalled.Milliseconds())))
+	return binary.BigEndian.AppendUint16(data, r.Completed), nil
+}
+
+// UnmarshalBinary reads what MarshalBinary wrote. Its error is ErrMalformed.
+func (r *Report) UnmarshalBinary(data []byte) error {
+	if len(data) != size {
+		return fmt.Errorf("%w: %d bytes, want %d", ErrMalformed, len(data), size)
+	}
+	*r = Report{InUse: int(data[0]), Queued: int(data[1]), Limit: int(data[2]), Slots: int(data[3])}
+	at := 4
+	for c := range r.Levels {
+		r.Levels[c] = Level{
+			Time:    time.Duration(unpackLog(data[at]) * float64(time.Microsecond)),
+			Spread:  float64(data[at+1]) / spreadSteps,
+			Samples: unpackLog(data[at+2]),
+		}
+		at += 3
+	}
+	r.Errors = float64(data[at]) / errorSteps
+	r.Stalled = time.Duration(unpackLog(data[at+1]) * float64(time.Millisecond))
+	r.Completed = binary.BigEndian.Uint16(data[at+2:])
+	return nil
+}
+
+// MarshalText returns the packed report in unpadded URL-safe base64.
+func (r Report) MarshalText() ([]byte, error) {
+	data, err := r.MarshalBinary()
+	if err != nil {
+		return nil, err
+	}
+	return base64.RawURLEncoding.AppendEncode(nil, data), nil
+}
+
+// UnmarshalText reads what MarshalText wrote. Its error is ErrMalformed.
+func (r *Report) UnmarshalText(text []byte) error {
+	if len(text) > base64.RawURLEncoding.EncodedLen(size) {
+		return fmt.Errorf("%w: %d characters", ErrMalformed, len(text))
+	}
+	data, err := base64.RawURLEncoding.AppendDecode(nil, text)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return r.UnmarshalBinary(data)
+}
+
+// packCount clamps n to one byte.
+func packCount(n int) byte { return byte(min(max(n, 0), math.MaxUint8)) }
+
+// packStep clamps x, scaled by steps, to one byte.
+func packStep(x float64, steps float64) byte {
+	return byte(min(max(math.Round(x*steps), 0), math.MaxUint8))
+}
+
+// packLog packs x on a logarithmic scale; values of zero and less give zero.
+func packLog(x float64) byte {
+	if x <= 0 {
+		return 0
+	}
+	return byte(min(max(math.Round(math.Log2(x)*stepsPerOctave)+1, 1), math.MaxUint8))
+}
+
+// unpackLog is the inverse of packLog up to rounding.
+func unpackLog(b byte) float64 {
+	if b == 0 {
+		return 0
+	}
+	return math.Exp2(float64(b-1) / stepsPerOctave)
+}
