Rebuild the guard on the ledger, the gate and the leg

Cause: the thin guard kept no account of attempts and gave no slots. Change: a request passes ledger, checks, gate, checks, token, leg; announcements, silence, cancel by RPC; a backend server may say by header that it refused before any work. Conclusion: guard side complete but for tests of its own.

--- a/announcement/announcement.go
+++ b/announcement/announcement.go
@@ -59,7 +59,7 @@
 type Registry interface {
 	Announce(b backend.Backend) error
 	Report(id backend.ID, load Load) error
-	Drain(id backend.ID) error
+	DrainBackend(id backend.ID) error
 	Remove(id backend.ID) error
 }
 
@@ -106,7 +106,7 @@
 	case "POST load":
 		return a.report(id, body)
 	case "POST drain":
-		return a.registry.Drain(id)
+		return a.registry.DrainBackend(id)
 	case "DELETE ":
 		return a.registry.Remove(id)
 	}
--- a/announcement/announcement_test.go
+++ b/announcement/announcement_test.go
@@ -21,7 +21,7 @@
 	return nil
 }
 
-func (r registry) Drain(backend.ID) error { return nil }
+func (r registry) DrainBackend(backend.ID) error { return nil }
 
 func (r registry) Remove(id backend.ID) error {
 	delete(r, id)
--- a/attempt/id/id.go
+++ b/attempt/id/id.go
@@ -8,6 +8,7 @@
 package id
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"strconv"
@@ -44,6 +45,16 @@
 	return fmt.Sprintf("%s/%d/%d/%d", i.Ingress, i.Incarnation, i.Request, i.Attempt)
 }
 
+// Compare orders IDs by ingress, incarnation, request and attempt.
+func (i ID) Compare(other ID) int {
+	return cmp.Or(
+		cmp.Compare(i.Ingress, other.Ingress),
+		cmp.Compare(i.Incarnation, other.Incarnation),
+		cmp.Compare(i.Request, other.Request),
+		cmp.Compare(i.Attempt, other.Attempt),
+	)
+}
+
 // Parse reads what String wrote. Its error is ErrMalformed.
 func Parse(text string) (ID, error) {
 	parts := strings.Split(text, "/")
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -23,17 +23,13 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"berylpass/header"
 )
 
 // RequestHeader is the header by which Runs counts.
 const RequestHeader = "X-Request-Id"
 
-// NotRunHeader marks a refusal that happened before any work.
-const NotRunHeader = "Bp-Not-Run"
-
-// TimeoutHeader carries the time, in milliseconds, that a request has left.
-const TimeoutHeader = "Bp-Timeout-Ms"
-
 // Fault describes how a backend server misbehaves. The zero value is health.
 type Fault struct {
 	// SlowFactor multiplies the service time; 0 means 1.
@@ -173,7 +169,7 @@
 	inUse := e.inUse.Add(1)
 	defer e.inUse.Add(-1)
 	if int(inUse) > e.slots {
-		w.Header().Set(NotRunHeader, "1")
+		w.Header().Set(header.NotRun, "1")
 		http.Error(w, "shed", http.StatusServiceUnavailable)
 		return
 	}
--- a/guard/check.go
+++ b/guard/check.go
@@ -1,57 +1,67 @@
 package guard
 
 import (
+	"time"
+
 	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
-	"berylpass/fleet/member"
 	"berylpass/hop"
 )
 
-// The reasons for which a guard refuses a request as not run.
+// The reasons, besides those of the ledger and the gate, for which a guard
+// refuses a request as not run.
 const (
-	ReasonOtherIncarnation  = "other-incarnation"
-	ReasonExpired           = "expired"
-	ReasonNoRoute           = "no-route"
-	ReasonKeyWithdrawn      = "key-withdrawn"
-	ReasonNoBackend         = "no-backend"
-	ReasonDraining          = "backend-draining"
-	ReasonOutOfService      = "datacentre-out-of-service"
-	ReasonOtherService      = "other-service"
-	ReasonLeaving           = "leaving"
-	reasonNone              = ""
-	organisationOfOpenRoute = ""
+	ReasonExpired      = "expired"
+	ReasonNoRoute      = "no-route"
+	ReasonKeyWithdrawn = "key-withdrawn"
+	ReasonNoBackend    = "no-backend"
+	ReasonDraining     = "backend-draining"
+	ReasonOutOfService = "datacentre-out-of-service"
+	ReasonOtherService = "other-service"
+	ReasonLeaving      = "leaving"
+	ReasonOverLimit    = "over-limit"
+	ReasonShed         = "backend-shed"
+	ReasonNotSent      = "backend-unreachable"
+	reasonNone         = ""
 )
 
-// check returns why the request must not run on the target now, or reasonNone.
-// The clock is the guard's, in milliseconds since its start.
-func check(s snapshot.Snapshot, self member.Member, e hop.Envelope, clock int64, target backend.Backend, known bool) string {
-	if e.Incarnation != self.Incarnation {
-		return ReasonOtherIncarnation
-	}
-	if clock >= e.Expires {
+// check returns why the request must not run now, or reasonNone. The caller holds g.mu.
+func (g *Guard) check(now time.Time, s snapshot.Snapshot, e hop.Envelope) string {
+	if now.Sub(g.started).Milliseconds() >= e.Expires {
 		return ReasonExpired
 	}
 	route, ok := s.Routes[e.Route]
 	if !ok {
 		return ReasonNoRoute
 	}
-	if e.Organisation == organisationOfOpenRoute && !route.Open {
-		return ReasonKeyWithdrawn
-	}
-	if e.Organisation != organisationOfOpenRoute && !s.HasKey(e.Organisation, e.KeyID) {
+	if !allowed(s, e, route.Open) {
 		return ReasonKeyWithdrawn
 	}
-	if !s.InService(self.Datacentre) {
+	if !s.InService(g.self.Datacentre) {
 		return ReasonOutOfService
 	}
-	if !known {
+	target, known := g.backends[e.Backend]
+	switch {
+	case !known:
 		return ReasonNoBackend
-	}
-	if target.Service != route.Service {
+	case target.Service != route.Service:
 		return ReasonOtherService
-	}
-	if target.State != backend.Serving {
+	case target.State != backend.Serving:
 		return ReasonDraining
 	}
 	return reasonNone
 }
+
+// allowed reports whether the key that came with the request is in force for
+// its organisation, or no key is needed.
+func allowed(s snapshot.Snapshot, e hop.Envelope, open bool) bool {
+	if e.Organisation == "" {
+		return open
+	}
+	return s.HasKey(e.Organisation, e.KeyID)
+}
+
+// inService reports whether backend servers of this VM take new work.
+func (g *Guard) inService(s snapshot.Snapshot) bool {
+	return !g.leaving && s.InService(g.self.Datacentre)
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -2,164 +2,170 @@
 //
 // It holds the exact truth about each backend server beside it and checks every
 // forwarded request again with its own configuration, so that an ingress with an
-// old view can't break an invariant alone.
+// old view can't break an invariant alone. A request passes, in this order: the
+// ledger (never twice, never after a cancel), the checks, the gate (slots, ramp,
+// queue), the checks once more, the limit's token, and the leg to the backend server.
 //
 // # Usage
 //
-//	g := guard.New(self, configuration, guard.WithClock(time.Now))
-//	g.Announce(b)
-//	port, err := httpport.New(address, g, httpport.WithTLS(tls))
+//	g := guard.New(self, guard.Parts{Configuration: c, Leg: leg.New(), Limit: desk})
+//	mesh.Register(guard.ServiceName, g.Receiver())
+//	data, err := httpport.New(address, g, httpport.WithTLS(tls))
+//	backends, err := httpport.New(loopback, announcement.New(g))
+//	g.Drain(ctx) // on leave: refuses new requests, waits for those in flight
+//	g.Close()
 package guard
 
 import (
 	"context"
-	"io"
-	"net/http"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"berylpass/attempt/id"
+	"berylpass/attempt/ledger"
+	"berylpass/choice/gate"
+	"berylpass/choice/report"
 	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
 	"berylpass/fleet/member"
-	"berylpass/hop"
+	"berylpass/leg"
 )
 
+// tickInterval is the pause between two runs of the gate's systems.
+const tickInterval = 50 * time.Millisecond
+
 // Configuration yields the snapshot in force.
 type Configuration interface {
 	Current() snapshot.Snapshot
 }
 
-// Leg runs a request on a backend server.
+// Leg runs a request on a backend server. Its errors wrap leg.ErrNotSent or leg.ErrUnknown.
 type Leg interface {
-	Run(ctx context.Context, address string, r Request) (Answer, error)
+	Run(ctx context.Context, address string, r leg.Request) (leg.Answer, error)
+}
+
+// Limit draws a token of an organisation's limit; it is asked when the token
+// that came with a request has lapsed.
+type Limit interface {
+	Draw(ctx context.Context, organisation string) error
 }
 
-// Request is what a backend server receives.
-type Request struct {
-	Method string
-	Target string
-	Host   string
-	Header http.Header
-	Body   []byte
+// Observer learns what happens at the guard. Its methods must not block.
+type Observer interface {
+	BackendChanged(b backend.Backend)
+	Refused(reason string)
+	// Noticed passes on that the state of a backend server changed markedly.
+	Noticed(id backend.ID, r report.Report)
 }
 
-// Answer is a backend server's whole answer.
-type Answer struct {
-	Status int
-	Header http.Header
-	Body   []byte
-	// NotRun tells that the backend server refused before any work.
-	NotRun bool
+// Parts are what a guard works with.
+type Parts struct {
+	Configuration Configuration
+	Leg           Leg
+	Limit         Limit
+	Observer      Observer
+	Clock         func() time.Time
 }
 
 // Guard forwards requests to the backend servers beside it.
 type Guard struct {
-	self          member.Member
-	configuration Configuration
-	leg           Leg
-	clock         func() time.Time
-	started       time.Time
+	Parts
+	self    member.Member
+	started time.Time
+	done    chan struct{}
+	wait    sync.WaitGroup
 
 	mu       sync.Mutex
-	backends map[backend.ID]backend.Backend
+	ledger   *ledger.Ledger
+	gate     *gate.Gate
+	backends map[backend.ID]registered
+	passes   map[id.ID]*pass
+	leaving  bool
 }
 
-// Option changes how a guard is set up.
-type Option func(*Guard)
-
-// WithClock sets the clock, time.Now by default.
-func WithClock(clock func() time.Time) Option { return func(g *Guard) { g.clock = clock } }
-
-// New returns a guard for the daemon self without backend servers.
-func New(self member.Member, configuration Configuration, leg Leg, options ...Option) *Guard {
-	g := &Guard{
-		self:          self,
-		configuration: configuration,
-		leg:           leg,
-		clock:         time.Now,
-		backends:      map[backend.ID]backend.Backend{},
+// New returns a guard for the daemon self without backend servers. Nil parts get defaults where there are any.
+func New(self member.Member, parts Parts) *Guard {
+	if parts.Clock == nil {
+		parts.Clock = time.Now
 	}
-	for _, option := range options {
-		option(g)
+	started := parts.Clock()
+	g := &Guard{
+		Parts:    parts,
+		self:     self,
+		started:  started,
+		done:     make(chan struct{}),
+		ledger:   ledger.New(started, self.Incarnation, ledger.DefaultCapacity),
+		gate:     gate.New(),
+		backends: map[backend.ID]registered{},
+		passes:   map[id.ID]*pass{},
 	}
-	g.started = g.clock()
+	g.wait.Go(func() {
+		ticker := time.NewTicker(tickInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				g.tick(g.Parts.Clock())
+			case <-g.done:
+				return
+			}
+		}
+	})
 	return g
 }
 
-// Announce adds a backend server or replaces what is known of it.
-func (g *Guard) Announce(b backend.Backend) {
+// GuardClock returns the guard's clock: milliseconds since its start.
+func (g *Guard) GuardClock() int64 { return g.Clock().Sub(g.started).Milliseconds() }
+
+// ConfigurationChanged refuses the waiting requests that the new snapshot no longer allows.
+func (g *Guard) ConfigurationChanged(s snapshot.Snapshot) {
+	now := g.Clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.backends[b.ID] = b
-}
-
-// Clock returns the guard's clock in milliseconds since its start.
-func (g *Guard) Clock() int64 { return g.clock().Sub(g.started).Milliseconds() }
-
-// ServeHTTP runs one forwarded request.
-func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	envelope, err := hop.ReadEnvelope(r.Header)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	for _, attempt := range g.waitingIDs() {
+		p := g.passes[attempt]
+		if reason := g.check(now, s, p.envelope); reason != reasonNone {
+			p.reason = reason
+			g.apply(now, g.gate.Update(now, gate.Withdraw{ID: attempt}))
+		}
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
+	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
+		g.apply(now, g.gate.Update(now, gate.ServiceSeen{Service: s.Services[name]}))
 	}
-	g.mu.Lock()
-	target, known := g.backends[envelope.Backend]
-	g.mu.Unlock()
-	if reason := check(g.configuration.Current(), g.self, envelope, g.Clock(), target, known); reason != "" {
-		g.refuse(w, envelope, reason)
-		return
+	for _, known := range g.backendIDs() {
+		g.apply(now, g.gate.Update(now, gate.BackendSeen{Backend: g.backends[known].Backend, InService: g.inService(s)}))
 	}
-	left := time.Duration(envelope.Expires-g.Clock()) * time.Millisecond
-	ctx, cancel := context.WithTimeout(r.Context(), left)
-	defer cancel()
-	start := g.clock()
-	answer, err := g.leg.Run(ctx, target.Address, Request{
-		Method: r.Method,
-		Target: r.URL.RequestURI(),
-		Host:   r.Host,
-		Header: r.Header,
-		Body:   body,
-	})
-	g.reply(w, envelope, answer, err, g.clock().Sub(start))
 }
 
-func (g *Guard) report(e hop.Envelope, ending hop.Ending, reason string) hop.Report {
-	return hop.Report{
-		Attempt:     e.Attempt,
-		Ending:      ending,
-		Reason:      reason,
-		Incarnation: g.self.Incarnation,
-		Clock:       g.Clock(),
-		Revision:    g.configuration.Current().Revision,
-	}
+// InFlight returns the number of requests that wait or run.
+func (g *Guard) InFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.passes)
 }
 
-func (g *Guard) refuse(w http.ResponseWriter, e hop.Envelope, reason string) {
-	g.report(e, hop.NotRun, reason).Write(w.Header())
-	w.WriteHeader(http.StatusServiceUnavailable)
+// Drain refuses new requests as not run and waits until none is in flight or ctx ends.
+func (g *Guard) Drain(ctx context.Context) error {
+	g.mu.Lock()
+	g.leaving = true
+	g.mu.Unlock()
+	g.ConfigurationChanged(g.Configuration.Current())
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for g.InFlight() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
 }
 
-func (g *Guard) reply(w http.ResponseWriter, e hop.Envelope, answer Answer, err error, took time.Duration) {
-	if err != nil {
-		g.report(e, hop.Unknown, "backend-lost").Write(w.Header())
-		w.WriteHeader(http.StatusBadGateway)
-		return
-	}
-	if answer.NotRun {
-		g.refuse(w, e, "backend-shed")
-		return
-	}
-	for name, values := range answer.Header {
-		w.Header()[name] = values
-	}
-	report := g.report(e, hop.Ran, "")
-	report.ServiceTime = took
-	report.Write(w.Header())
-	w.WriteHeader(answer.Status)
-	_, _ = w.Write(answer.Body)
+// Close stops the guard's goroutines.
+func (g *Guard) Close() {
+	close(g.done)
+	g.wait.Wait()
 }
--- /dev/null
+++ b/guard/serve.go
@@ -0,0 +1,165 @@
+package guard
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"berylpass/choice/gate"
+	"berylpass/choice/verdict"
+	"berylpass/hop"
+	"berylpass/leg"
+)
+
+// ending is how a request left the guard.
+type ending struct {
+	ending     hop.Ending
+	reason     string
+	retryAfter time.Duration
+	answer     leg.Answer
+	took       time.Duration
+}
+
+// ServeHTTP runs one forwarded request and answers with a hop.Report.
+func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	envelope, err := hop.ReadEnvelope(r.Header)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	request := leg.Request{
+		Method: r.Method,
+		Target: r.URL.RequestURI(),
+		Host:   r.Host,
+		Header: r.Header,
+		Body:   body,
+	}
+	g.answer(w, envelope, g.serve(r.Context(), envelope, request))
+}
+
+// serve takes one attempt from its arrival to its end.
+func (g *Guard) serve(ctx context.Context, e hop.Envelope, r leg.Request) ending {
+	now := g.Clock()
+	left := g.started.Add(milliseconds(e.Expires)).Sub(now)
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	p, reason, proved := g.enter(now, e, cancel)
+	if p == nil {
+		g.Observer.Refused(reason)
+		return ending{ending: proved, reason: reason}
+	}
+	v := <-p.verdicts
+	if !v.run {
+		g.leave(g.Clock(), p, false, nil)
+		g.Observer.Refused(v.reason)
+		return ending{ending: hop.NotRun, reason: v.reason, retryAfter: v.retryAfter}
+	}
+	return g.run(ctx, p, r)
+}
+
+// run dispatches a request to which the gate has given a slot.
+func (g *Guard) run(ctx context.Context, p *pass, r leg.Request) ending {
+	freed := &gate.Finished{ID: p.envelope.Attempt, Verdict: verdict.Cancelled}
+	if reason := g.token(ctx, p.envelope); reason != reasonNone {
+		g.leave(g.Clock(), p, false, freed)
+		return ending{ending: hop.NotRun, reason: reason}
+	}
+	start := g.Clock()
+	if reason := g.start(start, p.envelope); reason != reasonNone {
+		g.leave(g.Clock(), p, false, freed)
+		g.Observer.Refused(reason)
+		return ending{ending: hop.NotRun, reason: reason}
+	}
+	answer, err := g.Leg.Run(ctx, g.address(p.envelope), r)
+	end := endingOfRun(answer, err)
+	end.took = g.Clock().Sub(start)
+	finished := &gate.Finished{ID: p.envelope.Attempt, Verdict: verdictOf(ctx, end, err)}
+	g.leave(g.Clock(), p, end.ending != hop.NotRun, finished)
+	return end
+}
+
+// token draws a fresh token if the one that came with the request has lapsed.
+func (g *Guard) token(ctx context.Context, e hop.Envelope) string {
+	if e.Organisation == "" || g.GuardClock() < e.TokenLapses {
+		return reasonNone
+	}
+	if err := g.Limit.Draw(ctx, e.Organisation); err != nil {
+		return ReasonOverLimit
+	}
+	return reasonNone
+}
+
+func (g *Guard) address(e hop.Envelope) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.backends[e.Backend].Address
+}
+
+func endingOfRun(answer leg.Answer, err error) ending {
+	switch {
+	case errors.Is(err, leg.ErrNotSent):
+		return ending{ending: hop.NotRun, reason: ReasonNotSent}
+	case err != nil:
+		return ending{ending: hop.Unknown, reason: "backend-lost"}
+	case answer.NotRun:
+		return ending{ending: hop.NotRun, reason: ReasonShed, retryAfter: answer.RetryAfter}
+	}
+	return ending{ending: hop.Ran, answer: answer}
+}
+
+func verdictOf(ctx context.Context, end ending, err error) verdict.Verdict {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.Timeout
+	case ctx.Err() != nil:
+		return verdict.Cancelled
+	case end.reason == ReasonShed:
+		return verdict.Shed
+	case err != nil:
+		return verdict.Reset
+	case end.answer.Status >= http.StatusInternalServerError:
+		return verdict.Error
+	}
+	return verdict.OK
+}
+
+func (g *Guard) answer(w http.ResponseWriter, e hop.Envelope, end ending) {
+	status := http.StatusServiceUnavailable
+	if end.ending == hop.Ran {
+		status = end.answer.Status
+		for name, values := range end.answer.Header {
+			w.Header()[name] = values
+		}
+	}
+	g.report(e, end).Write(w.Header())
+	w.WriteHeader(status)
+	if end.ending == hop.Ran {
+		_, _ = w.Write(end.answer.Body)
+	}
+}
+
+func (g *Guard) report(e hop.Envelope, end ending) hop.Report {
+	now := g.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := hop.Report{
+		Attempt:     e.Attempt,
+		Ending:      end.ending,
+		Reason:      end.reason,
+		RetryAfter:  end.retryAfter,
+		Incarnation: g.self.Incarnation,
+		Clock:       now.Sub(g.started).Milliseconds(),
+		Revision:    g.Configuration.Current().Revision,
+		ServiceTime: end.took,
+	}
+	if load, ok := g.gate.Report(now, e.Backend); ok {
+		out.Load = &load
+	}
+	return out
+}
--- a/header/header.go
+++ b/header/header.go
@@ -22,6 +22,9 @@
 	InternalPrefix = "Bp-"
 	// TimeoutMS tells a backend server how many milliseconds it has left.
 	TimeoutMS = InternalPrefix + "Timeout-Ms"
+	// NotRun marks, on an answer with status 503, that a backend server refused the
+	// request before any work.
+	NotRun = "Berylpass-Not-Run"
 	// Authorization carries a caller's key as a bearer token.
 	Authorization = "Authorization"
 	// APIKey carries a caller's key by itself.
--- a/hop/report.go
+++ b/hop/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"berylpass/attempt/id"
+	"berylpass/choice/report"
 )
 
 // Ending tells how an attempt ended at the guard.
@@ -35,11 +36,8 @@
 	Revision    uint64
 	// ServiceTime is how long the backend server took.
 	ServiceTime time.Duration
-	// InUse, Queued and Limit describe the backend server's load: requests that
-	// run, requests that wait, and how many may run at once.
-	InUse, Queued, Limit int
-	// Suspicion is the guard's own evidence against the backend server, from 0 to 1.
-	Suspicion float64
+	// Load is what the guard measured at the backend server; nil if it knows none.
+	Load *report.Report
 }
 
 // Write sets the report's headers.
@@ -52,10 +50,12 @@
 	h.Set(Prefix+"Clock", strconv.FormatInt(p.Clock, 10))
 	h.Set(Prefix+"Revision", strconv.FormatUint(p.Revision, 10))
 	h.Set(Prefix+"Service-Us", strconv.FormatInt(p.ServiceTime.Microseconds(), 10))
-	h.Set(Prefix+"In-Use", strconv.Itoa(p.InUse))
-	h.Set(Prefix+"Queued", strconv.Itoa(p.Queued))
-	h.Set(Prefix+"Limit", strconv.Itoa(p.Limit))
-	h.Set(Prefix+"Suspicion", strconv.FormatFloat(p.Suspicion, 'f', 3, 64))
+	if p.Load == nil {
+		return
+	}
+	if text, err := p.Load.MarshalText(); err == nil {
+		h.Set(Prefix+"Load", string(text))
+	}
 }
 
 // ReadReport reads what Write wrote. Its error wraps ErrMalformed.
@@ -69,16 +69,14 @@
 		Clock:       r.signed("Clock"),
 		Revision:    r.unsigned("Revision"),
 		ServiceTime: time.Duration(r.signed("Service-Us")) * time.Microsecond,
-		InUse:       int(r.signed("In-Use")),
-		Queued:      int(r.signed("Queued")),
-		Limit:       int(r.signed("Limit")),
 	}
 	attempt, err := id.Parse(h.Get(Prefix + "Attempt"))
 	r.note("Attempt", err)
 	p.Attempt = attempt
-	suspicion, err := strconv.ParseFloat(h.Get(Prefix+"Suspicion"), 64)
-	r.note("Suspicion", err)
-	p.Suspicion = suspicion
+	if text := h.Get(Prefix + "Load"); text != "" {
+		p.Load = &report.Report{}
+		r.note("Load", p.Load.UnmarshalText([]byte(text)))
+	}
 	if p.Ending != Ran && p.Ending != NotRun && p.Ending != Unknown {
 		r.note("Ending", ErrMalformed)
 	}
--- a/leg/answer.go
+++ b/leg/answer.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
+	"time"
 
 	"berylpass/header"
 )
@@ -10,6 +12,9 @@
 // read returns the whole answer or says why it cannot be had.
 func (l *Leg) read(method string, response *http.Response) (Answer, error) {
 	answer := Answer{Status: response.StatusCode, Header: header.FromBackend(response.Header)}
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(header.NotRun) != "" {
+		answer.NotRun, answer.RetryAfter = true, retryAfter(response.Header)
+	}
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return Answer{}, ErrUpgrade
 	}
@@ -50,3 +55,12 @@
 func hasBody(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
+
+// retryAfter reads a Retry-After in seconds; other forms count as none.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseUint(h.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -70,6 +70,10 @@
 	// Header holds no hop-by-hop and no internal headers.
 	Header http.Header
 	Body   []byte
+	// NotRun tells that the backend server refused the request before any work,
+	// by status 503 with header.NotRun. RetryAfter is its advice, zero if it gave none.
+	NotRun     bool
+	RetryAfter time.Duration
 }
 
 // Leg sends requests to the backend servers of a VM. It is safe for concurrent use.
