--- /dev/null
+++ b/config/manifest/manifest.go
@@ -0,0 +1,144 @@
+// Package manifest names one revision of the configuration by the digests of its chunks.
+//
+// Its own digest covers the revision's number, the manifest it was made on, the
+// text of the release note and every chunk, so one signature covers them all.
+//
+// # Usage
+//
+//	m, chunks, err := manifest.New(s, base.Digest(), noteText)
+//	signed := signature.Sign("ola", private, m.Digest())
+//	parsed, err := manifest.Parse(m.Encode())
+package manifest
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"berylpass/config/chunk"
+	"berylpass/config/snapshot"
+	"berylpass/platform/object"
+)
+
+// ErrMalformed reports bytes that are no manifest.
+var ErrMalformed = errors.New("malformed manifest")
+
+// Digest is the SHA-256 digest of a manifest or of a note's text.
+type Digest = [sha256.Size]byte
+
+// Reference names one chunk.
+type Reference struct {
+	Kind   string
+	Bucket int
+	Digest chunk.Digest
+}
+
+// Manifest describes one revision.
+type Manifest struct {
+	Revision uint64
+	// Base is the digest of the manifest before; zero for the first.
+	Base Digest
+	// Note is the digest of the release note's text.
+	Note Digest
+	// References are ordered by kind, as chunk.Kinds orders them, and bucket.
+	References []Reference
+}
+
+// New returns the manifest and the chunks of a snapshot. Its error is chunk.ErrTooLarge.
+func New(s snapshot.Snapshot, base Digest, note []byte) (Manifest, []chunk.Chunk, error) {
+	chunks, err := chunk.Split(s)
+	if err != nil {
+		return Manifest{}, nil, err
+	}
+	m := Manifest{Revision: s.Revision, Base: base, Note: sha256.Sum256(note)}
+	for _, c := range chunks {
+		m.References = append(m.References, Reference{Kind: c.Kind, Bucket: c.Bucket, Digest: c.Digest()})
+	}
+	return m, chunks, nil
+}
+
+// Digest returns the digest that owners sign.
+func (m Manifest) Digest() Digest { return sha256.Sum256(m.Encode()) }
+
+type encoded struct {
+	Revision uint64 `json:"revision"`
+	Base     string `json:"base"`
+	Note     string `json:"note"`
+	// Chunks is by kind and bucket.
+	Chunks map[string]map[string]string `json:"chunks"`
+}
+
+// Encode returns the manifest in JSON, always the same bytes.
+func (m Manifest) Encode() []byte {
+	e := encoded{Revision: m.Revision, Base: encodeDigest(m.Base), Note: encodeDigest(m.Note), Chunks: map[string]map[string]string{}}
+	for _, r := range m.References {
+		if e.Chunks[r.Kind] == nil {
+			e.Chunks[r.Kind] = map[string]string{}
+		}
+		e.Chunks[r.Kind][strconv.Itoa(r.Bucket)] = encodeDigest(r.Digest)
+	}
+	text, err := json.Marshal(e)
+	if err != nil {
+		// Strings, integers and maps of them always have a JSON form.
+		panic(err)
+	}
+	return text
+}
+
+// Parse reads what Encode wrote, and nothing else. Its error is ErrMalformed.
+func Parse(text []byte) (Manifest, error) {
+	if len(text) > object.MaxValue {
+		return Manifest{}, fmt.Errorf("%w: %d bytes, allowed are %d", ErrMalformed, len(text), object.MaxValue)
+	}
+	var e encoded
+	if err := json.Unmarshal(text, &e); err != nil {
+		return Manifest{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	m := Manifest{Revision: e.Revision}
+	var ok [2]bool
+	m.Base, ok[0] = decodeDigest(e.Base)
+	m.Note, ok[1] = decodeDigest(e.Note)
+	if ok != [2]bool{true, true} {
+		return Manifest{}, fmt.Errorf("%w: digest", ErrMalformed)
+	}
+	for _, kind := range chunk.Kinds() {
+		references, err := decodeKind(kind, e.Chunks[kind])
+		if err != nil {
+			return Manifest{}, err
+		}
+		m.References = append(m.References, references...)
+	}
+	if !bytes.Equal(m.Encode(), text) {
+		return Manifest{}, fmt.Errorf("%w: not in canonical form", ErrMalformed)
+	}
+	return m, nil
+}
+
+func decodeKind(kind string, buckets map[string]string) ([]Reference, error) {
+	var references []Reference
+	for number, text := range buckets {
+		bucket, err := strconv.Atoi(number)
+		digest, ok := decodeDigest(text)
+		if err != nil || !ok || bucket < 0 || bucket >= chunk.Buckets(kind) {
+			return nil, fmt.Errorf("%w: chunk %s of kind %s", ErrMalformed, number, kind)
+		}
+		references = append(references, Reference{Kind: kind, Bucket: bucket, Digest: digest})
+	}
+	slices.SortFunc(references, func(a, b Reference) int { return a.Bucket - b.Bucket })
+	return references, nil
+}
+
+func encodeDigest(d Digest) string { return base64.RawURLEncoding.EncodeToString(d[:]) }
+
+func decodeDigest(text string) (Digest, bool) {
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(raw) != sha256.Size {
+		return Digest{}, false
+	}
+	return Digest(raw), true
+}
