--- a/guard/check.go
+++ b/guard/check.go
@@ -20,6 +20,7 @@
 	ReasonOtherService = "other-service"
 	ReasonLeaving      = "leaving"
 	ReasonOverLimit    = "over-limit"
+	ReasonNoLease      = "no-lease"
 	ReasonShed         = "backend-shed"
 	ReasonNotSent      = "backend-unreachable"
 	reasonNone         = ""
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -31,6 +31,7 @@
 	"berylpass/fleet/backend"
 	"berylpass/fleet/member"
 	"berylpass/leg"
+	"berylpass/limit/enforcer"
 )
 
 // tickInterval is the pause between two runs of the gate's systems.
@@ -47,9 +48,12 @@
 }
 
 // Limit draws a token of an organisation's limit; it is asked when the token
-// that came with a request has lapsed.
+// that came with a request has lapsed. A token allows one dispatch until it
+// lapses; Started tells that it was used, Return that it certainly was not.
 type Limit interface {
-	Draw(ctx context.Context, organisation string) error
+	Draw(ctx context.Context, organisation string) (enforcer.Token, error)
+	Started(t enforcer.Token)
+	Return(t enforcer.Token)
 }
 
 // Observer learns what happens at the guard. Its methods must not block.
--- a/guard/pass.go
+++ b/guard/pass.go
@@ -44,6 +44,18 @@
 		g.ledger.Update(now, ledger.Discard{ID: e.Attempt})
 		return nil, reason, hop.NotRun
 	}
+	return g.queue(now, e, cancel), reasonNone, hop.Ran
+}
+
+// enterProbe asks the gate for a slot without an entry in the ledger.
+func (g *Guard) enterProbe(now time.Time, e hop.Envelope, cancel context.CancelFunc) *pass {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue(now, e, cancel)
+}
+
+// queue asks the gate for a slot. The caller holds g.mu.
+func (g *Guard) queue(now time.Time, e hop.Envelope, cancel context.CancelFunc) *pass {
 	p := &pass{envelope: e, verdicts: make(chan gateVerdict, 1), cancel: cancel}
 	g.passes[e.Attempt] = p
 	g.apply(now, g.gate.Update(now, gate.Arrive{
@@ -53,7 +65,7 @@
 		Class:        e.Class,
 		Expires:      g.started.Add(milliseconds(e.Expires)),
 	}))
-	return p, reasonNone, hop.Ran
+	return p
 }
 
 // endingOf maps a refusal of the ledger to the ending that it proves. The
--- a/guard/receiver.go
+++ b/guard/receiver.go
@@ -1,10 +1,23 @@
 package guard
 
 import (
+	"context"
+	"net/http"
+	"time"
+
 	"berylpass/attempt/id"
 	"berylpass/attempt/ledger"
+	"berylpass/choice/gate"
+	"berylpass/choice/verdict"
+	"berylpass/config/class"
+	"berylpass/fleet/backend"
+	"berylpass/hop"
+	"berylpass/leg"
 )
 
+// probeTimeout bounds a probe of a backend server.
+const probeTimeout = time.Second
+
 // ServiceName is the name under which a Receiver is registered on the mesh.
 const ServiceName = "Guard"
 
@@ -63,3 +76,37 @@
 	reply.Incarnation, reply.Clock = r.guard.self.Incarnation, r.guard.GuardClock()
 	return nil
 }
+
+// ProbeArgs asks for a probe of a backend server.
+type ProbeArgs struct {
+	Attempt id.ID
+	Backend backend.ID
+}
+
+// ProbeReply tells how the probe ended. Load is a report.Report as text, empty if there is none.
+type ProbeReply struct {
+	Verdict verdict.Verdict
+	Load    []byte
+}
+
+// Probe sends a safe request to a backend server. It takes a slot like any other request.
+func (r *Receiver) Probe(args ProbeArgs, reply *ProbeReply) error {
+	g := r.guard
+	expires := g.GuardClock() + probeTimeout.Milliseconds()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	envelope := hop.Envelope{Attempt: args.Attempt, Backend: args.Backend, Expires: expires, Class: class.Background}
+	p := g.enterProbe(g.Clock(), envelope, cancel)
+	reply.Verdict = verdict.Shed
+	if v := <-p.verdicts; v.run {
+		answer, err := g.Leg.Run(ctx, g.address(envelope), leg.Request{Method: http.MethodOptions, Target: "/", Host: "localhost"})
+		reply.Verdict = verdictOf(ctx, endingOfRun(answer, err), err)
+		g.leave(g.Clock(), p, true, &gate.Finished{ID: args.Attempt, Verdict: reply.Verdict})
+	} else {
+		g.leave(g.Clock(), p, false, nil)
+	}
+	if load := g.report(envelope, ending{}).Load; load != nil {
+		reply.Load, _ = load.MarshalText()
+	}
+	return nil
+}
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -66,35 +66,28 @@
 // run dispatches a request to which the gate has given a slot.
 func (g *Guard) run(ctx context.Context, p *pass, r leg.Request) ending {
 	freed := &gate.Finished{ID: p.envelope.Attempt, Verdict: verdict.Cancelled}
-	if reason := g.token(ctx, p.envelope); reason != reasonNone {
+	token, err := g.token(ctx, p.envelope)
+	if err != nil {
 		g.leave(g.Clock(), p, false, freed)
-		return ending{ending: hop.NotRun, reason: reason}
+		return refusalOf(err)
 	}
 	start := g.Clock()
 	if reason := g.start(start, p.envelope); reason != reasonNone {
+		token.giveBack()
 		g.leave(g.Clock(), p, false, freed)
 		g.Observer.Refused(reason)
 		return ending{ending: hop.NotRun, reason: reason}
 	}
+	r.NotAfter = token.lapses
 	answer, err := g.Leg.Run(ctx, g.address(p.envelope), r)
 	end := endingOfRun(answer, err)
 	end.took = g.Clock().Sub(start)
+	token.settle(end.ending)
 	finished := &gate.Finished{ID: p.envelope.Attempt, Verdict: verdictOf(ctx, end, err)}
 	g.leave(g.Clock(), p, end.ending != hop.NotRun, finished)
 	return end
 }
 
-// token draws a fresh token if the one that came with the request has lapsed.
-func (g *Guard) token(ctx context.Context, e hop.Envelope) string {
-	if e.Organisation == "" || g.GuardClock() < e.TokenLapses {
-		return reasonNone
-	}
-	if err := g.Limit.Draw(ctx, e.Organisation); err != nil {
-		return ReasonOverLimit
-	}
-	return reasonNone
-}
-
 func (g *Guard) address(e hop.Envelope) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -62,6 +62,8 @@
 	// Header is filtered by header.ToBackend before it is sent.
 	Header http.Header
 	Body   []byte
+	// NotAfter is when the request may no longer begin to leave; zero for never.
+	NotAfter time.Time
 }
 
 // Answer is a backend server's whole answer.
@@ -122,7 +124,7 @@
 	if !strings.HasPrefix(r.Target, "/") {
 		return Answer{}, fmt.Errorf("%w: target %q does not start with a slash", ErrNotSent, r.Target)
 	}
-	var sent tracker
+	sent := tracker{notAfter: r.NotAfter}
 	request, err := newRequest(sent.trace(ctx), address, r)
 	if err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/leg/leg_test.go
+++ b/leg/leg_test.go
@@ -312,3 +312,17 @@
 		})
 	}
 }
+
+func TestNothingLeavesAfterNotAfter(t *testing.T) {
+	s := script(t, func(w io.Writer, _ request) bool {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	late := Request{Method: "POST", Target: "/", NotAfter: time.Now().Add(-time.Millisecond)}
+	if _, err := New().Run(context.Background(), s.address, late); !errors.Is(err, ErrNotSent) {
+		t.Errorf("got %v, want ErrNotSent", err)
+	}
+	if n := s.runs.Load(); n != 0 {
+		t.Errorf("%d runs after NotAfter", n)
+	}
+}
--- a/leg/seal.go
+++ b/leg/seal.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 var errSealed = errors.New("connection is sealed")
@@ -16,11 +17,16 @@
 	mu      sync.Mutex
 	written int64
 	sealed  bool
+	// notAfter is when writing may no longer begin; zero for never.
+	notAfter time.Time
 }
 
 // Write implements net.Conn. Bytes are counted before they leave.
 func (c *sealableConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	if c.written == 0 && !c.notAfter.IsZero() && time.Now().After(c.notAfter) {
+		c.sealed = true
+	}
 	if c.sealed {
 		c.mu.Unlock()
 		return 0, errSealed
@@ -30,6 +36,12 @@
 	return c.Conn.Write(p)
 }
 
+func (c *sealableConn) limit(notAfter time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notAfter = notAfter
+}
+
 func (c *sealableConn) count() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,6 +67,8 @@
 
 // tracker notes the connections that a request was given.
 type tracker struct {
+	notAfter time.Time
+
 	mu   sync.Mutex
 	uses []use
 }
@@ -68,6 +82,7 @@
 	if !ok {
 		return
 	}
+	conn.limit(t.notAfter)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.uses = append(t.uses, use{conn: conn, mark: conn.count()})
