Detect change with a cumulative sum at the guard

Change: the guard sums log-likelihood ratios against its own usual service times, reports the sum, and repeats notices while it stays unusual; a short window takes the place of the long one when both differ.

--- a/choice/evidence/evidence.go
+++ b/choice/evidence/evidence.go
@@ -2,9 +2,10 @@
 // service times by class and its errors.
 //
 // Service times are kept as logarithms, whose mean has a finite variance under
-// heavy-tailed distributions too. A short window follows sudden change; a long
-// one serves classes with little traffic. Errors feed a cumulative sum of
-// log-likelihood ratios (E. S. Page, Continuous Inspection Schemes, 1954).
+// heavy-tailed distributions too. A long window gives a steady level; a short
+// one takes its place when the two differ significantly. Slowness and errors
+// each feed a cumulative sum of log-likelihood ratios (E. S. Page, Continuous
+// Inspection Schemes, 1954), which needs the fewest samples after a change.
 //
 // # Usage
 //
@@ -24,34 +25,46 @@
 )
 
 const (
-	// shortSpan and longSpan are the time constants of the two windows.
-	shortSpan = 2 * time.Second
+	// shortSpan, longSpan and usualSpan are the time constants of the windows.
+	shortSpan = time.Second
 	longSpan  = 20 * time.Second
-	// enoughSamples is the effective number of samples from which the short window is used.
-	enoughSamples = 8
-	// clampRange bounds how far, in nats, one service time may lie from the long-term mean.
+	usualSpan = time.Minute
+	// shortSamples is the least number of effective samples of a short window.
+	shortSamples = 3
+	// usualSamples is the effective number of samples from which usual service times are known.
+	usualSamples = 20
+	// changeSigmas is the number of standard errors by which the short window
+	// differs from the long one when it takes its place.
+	changeSigmas = 3
+	// clampRange bounds how far, in nats, one service time may lie from the usual.
 	clampRange = 2.5
 	// agedFactor is the multiple of the level from which a running request counts as a sample.
 	agedFactor = 4
+	// minSpread is the least spread that service times are credited with.
+	minSpread = 0.3
+	// maxSlownessStep bounds the evidence, in nats, of one service time.
+	maxSlownessStep = 3
 
 	// usualErrors and raisedErrors are the error shares between which the errors decide.
 	usualErrors  = 0.01
 	raisedErrors = 0.2
-	// MaxErrors bounds the evidence of errors in nats, so that it can fall again.
-	MaxErrors = 30
+	// Max bounds the evidence of errors and of slowness in nats, so that it can fall again.
+	Max = 30
 )
 
 var (
 	// errorGain and successLoss are the log-likelihood ratios of one result.
 	errorGain   = math.Log(raisedErrors / usualErrors)
 	successLoss = math.Log((1 - raisedErrors) / (1 - usualErrors))
+	// slowShift is the rise of service times, as a logarithm, that slowness looks for.
+	slowShift = math.Log(3)
 )
 
 // Evidence is what a guard has seen of one backend server.
 type Evidence struct {
-	short, long [class.Count]window.Window
-	errors      float64
-	completed   uint16
+	short, long, usual [class.Count]window.Window
+	errors, slowness   float64
+	completed          uint16
 }
 
 // New returns evidence without samples.
@@ -60,6 +73,7 @@
 	for c := range e.short {
 		e.short[c] = window.New(shortSpan)
 		e.long[c] = window.New(longSpan)
+		e.usual[c] = window.New(usualSpan)
 	}
 	return e
 }
@@ -71,31 +85,20 @@
 		return
 	}
 	if v == verdict.Cancelled {
-		e.cancelled(now, c, took)
+		if e.Aged(now, c, took) {
+			e.add(now, c, took)
+		}
 		return
 	}
 	e.completed++
 	if v.Faulty() {
-		e.errors = min(e.errors+errorGain, MaxErrors)
+		e.errors = min(e.errors+errorGain, Max)
 	} else {
 		e.errors = max(e.errors+successLoss, 0)
 	}
-	if v == verdict.Error || v == verdict.Reset {
-		return
+	if v == verdict.OK || v == verdict.Timeout {
+		e.add(now, c, took)
 	}
-	x := e.clamp(now, c, LogTime(took))
-	e.short[c].Add(now, x)
-	e.long[c].Add(now, x)
-}
-
-// cancelled takes a request that was given up before it completed.
-func (e *Evidence) cancelled(now time.Time, c class.Class, took time.Duration) {
-	if !e.Aged(now, c, took) {
-		return
-	}
-	x := e.clamp(now, c, LogTime(took))
-	e.short[c].Add(now, x)
-	e.long[c].Add(now, x)
 }
 
 // Aged reports whether a request that has run for that long has run for much longer than usual.
@@ -107,36 +110,66 @@
 // Level returns the service time of class c. Ages are those of its running
 // requests: the ones that have run for much longer than usual count as samples.
 func (e *Evidence) Level(now time.Time, c class.Class, ages []time.Duration) report.Level {
-	w := e.short[c]
-	if w.Samples(now) < enoughSamples {
-		w = e.long[c]
-	}
-	if w.Samples(now) == 0 {
+	short, long := e.short[c], e.long[c]
+	if long.Samples(now) == 0 {
 		return report.Level{}
 	}
-	usual := w.Mean()
+	usual := long.Mean()
 	for _, age := range ages {
 		if x := LogTime(age); x > usual+math.Log(agedFactor) {
-			w.Add(now, min(x, usual+clampRange))
+			x = min(x, usual+clampRange)
+			short.Add(now, x)
+			long.Add(now, x)
 		}
 	}
-	return report.Level{Time: fromLog(w.Mean()), Spread: w.Spread(), Samples: w.Samples(now)}
+	w := long
+	spread := max(long.Spread(), minSpread)
+	n := short.Samples(now)
+	if n >= shortSamples && math.Abs(short.Mean()-usual) >= changeSigmas*spread/math.Sqrt(n) {
+		w = short
+	}
+	return report.Level{Time: fromLog(w.Mean()), Spread: long.Spread(), Samples: w.Samples(now)}
 }
 
-// Errors returns the evidence of a raised error share in nats, from 0 to MaxErrors.
+// Errors returns the evidence of a raised error share in nats, from 0 to Max.
 func (e *Evidence) Errors() float64 { return e.errors }
 
+// Slowness returns the evidence, in nats from 0 to Max, that service times rose
+// above what was usual for this backend server. Ages are those of its running requests by class.
+func (e *Evidence) Slowness(now time.Time, ages [class.Count][]time.Duration) float64 {
+	sum := e.slowness
+	for c := range ages {
+		for _, age := range ages[c] {
+			sum += max(e.step(now, class.Class(c), LogTime(age)), 0)
+		}
+	}
+	return min(sum, Max)
+}
+
 // Count returns the number of completed requests; it wraps around.
 func (e *Evidence) Count() uint16 { return e.completed }
 
-// clamp bounds x to the range around the long-term mean.
-func (e *Evidence) clamp(now time.Time, c class.Class, x float64) float64 {
-	w := &e.long[c]
-	if w.Samples(now) < enoughSamples {
-		return x
+// add takes a service time.
+func (e *Evidence) add(now time.Time, c class.Class, took time.Duration) {
+	x := LogTime(took)
+	if u := &e.usual[c]; u.Samples(now) >= usualSamples {
+		x = min(max(x, u.Mean()-clampRange), u.Mean()+clampRange)
+	}
+	e.slowness = min(max(e.slowness+e.step(now, c, x), 0), Max)
+	e.short[c].Add(now, x)
+	e.long[c].Add(now, x)
+	e.usual[c].Add(now, x)
+}
+
+// step returns the log-likelihood ratio of one service time x, a logarithm.
+func (e *Evidence) step(now time.Time, c class.Class, x float64) float64 {
+	u := &e.usual[c]
+	if u.Samples(now) < usualSamples {
+		return 0
 	}
-	m := w.Mean()
-	return min(max(x, m-clampRange), m+clampRange)
+	spread := max(u.Spread(), minSpread)
+	ratio := slowShift / (spread * spread) * (x - u.Mean() - slowShift/2)
+	return min(max(ratio, -maxSlownessStep), maxSlownessStep)
 }
 
 // LogTime returns the natural logarithm of d in microseconds.
@@ -144,7 +177,7 @@
 	return math.Log(max(float64(d)/float64(time.Microsecond), 1))
 }
 
-// fromLog is the inverse of logTime.
+// fromLog is the inverse of LogTime.
 func fromLog(x float64) time.Duration {
 	return time.Duration(math.Exp(x) * float64(time.Microsecond))
 }
--- a/choice/gate/lane.go
+++ b/choice/gate/lane.go
@@ -53,6 +53,8 @@
 	abandoned int
 	noticed   condition
 	noticedAt time.Time
+	// changedAt is when the noticed condition began.
+	changedAt time.Time
 }
 
 func newLane(now time.Time, b backend.Backend, s service.Service) *lane {
--- a/choice/gate/measure.go
+++ b/choice/gate/measure.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"math"
 	"time"
 
 	"berylpass/choice/evidence"
@@ -17,23 +16,22 @@
 	stalledAfter = time.Second
 	// failingEvidence is the evidence of errors, in nats, from which a backend server is noticed as failing.
 	failingEvidence = 14
+	// slowEvidence is the evidence of slowness, in nats, from which a backend server is noticed as slow.
+	slowEvidence = 10
 	// noticeInterval is the least time between two notices about a backend server.
-	noticeInterval = time.Second
-	// noticeSamples is the effective number of samples of a level that is noticed.
-	noticeSamples = 8
+	noticeInterval = 500 * time.Millisecond
+	// noticeTime is how long notices about an unusual condition are repeated.
+	noticeTime = 3 * time.Second
 )
 
-// noticeRatio is the change of the level, as a logarithm, that is noticed.
-var noticeRatio = math.Log(1.8)
-
 // condition is what a notice tells.
 type condition struct {
-	stalled, failing bool
-	// level is the logarithmic level over the classes; known tells that there is one.
-	level float64
-	known bool
+	stalled, failing, slow bool
 }
 
+// usual reports whether the condition calls for no notice.
+func (c condition) usual() bool { return c == condition{} }
+
 // expected returns the mean service time of a class, over all classes while it has none.
 func (l *lane) expected(now time.Time, c class.Class) time.Duration {
 	if l.mean[c].Samples(now) > 0 {
@@ -106,57 +104,40 @@
 		Stalled:   l.stalled(now),
 		Completed: l.evidence.Count(),
 	}
+	ages := l.ages(now)
+	r.Slowness = l.evidence.Slowness(now, ages)
 	for c := range r.Levels {
-		r.Levels[c] = l.evidence.Level(now, class.Class(c), l.ages(now, class.Class(c)))
+		r.Levels[c] = l.evidence.Level(now, class.Class(c), ages[c])
 	}
 	return r
 }
 
-// ages returns how long the requests of a class have run.
-func (l *lane) ages(now time.Time, c class.Class) []time.Duration {
-	var ages []time.Duration
+// ages returns how long the requests of each class have run.
+func (l *lane) ages(now time.Time) [class.Count][]time.Duration {
+	var ages [class.Count][]time.Duration
 	for _, r := range l.running {
-		if r.item.Class == c {
-			ages = append(ages, now.Sub(r.started))
-		}
+		ages[r.item.Class] = append(ages[r.item.Class], now.Sub(r.started))
 	}
 	return ages
 }
 
-// notice returns a notice if the condition of the backend server changed since the last one.
+// notice returns a notice when the condition of the backend server changes, and
+// further ones for some time while it is not usual.
 func (l *lane) notice(now time.Time) []decision.Action {
 	if now.Sub(l.noticedAt) < noticeInterval {
 		return nil
 	}
 	r := l.report(now)
-	c := conditionOf(r)
-	if !c.known {
-		c.level, c.known = l.noticed.level, l.noticed.known
+	c := condition{
+		stalled: r.Stalled > 0,
+		failing: r.Errors >= failingEvidence,
+		slow:    r.Slowness >= slowEvidence,
 	}
-	moved := c.known && l.noticed.known && math.Abs(c.level-l.noticed.level) >= noticeRatio
-	changed := c.stalled != l.noticed.stalled || c.failing != l.noticed.failing || moved
-	if !changed {
-		if !l.noticed.known {
-			l.noticed.level, l.noticed.known = c.level, c.known
-		}
+	if c != l.noticed {
+		l.noticed, l.changedAt = c, now
+	} else if c.usual() || now.Sub(l.changedAt) > noticeTime {
 		return nil
 	}
-	l.noticed, l.noticedAt = c, now
+	l.noticedAt = now
 	return []decision.Action{Notice{Backend: l.backend.ID, Report: r}}
 }
-
-// conditionOf returns the condition that a report shows.
-func conditionOf(r report.Report) condition {
-	c := condition{stalled: r.Stalled > 0, failing: r.Errors >= failingEvidence}
-	var weight float64
-	for _, level := range r.Levels {
-		if level.Samples > 0 {
-			weight += level.Samples
-			c.level += level.Samples * math.Log(float64(level.Time))
-		}
-	}
-	if weight >= noticeSamples {
-		c.level, c.known = c.level/weight, true
-	}
-	return c
-}
--- a/choice/picker/judge.go
+++ b/choice/picker/judge.go
@@ -13,7 +13,7 @@
 	// reportLife is the age up to which a report counts.
 	reportLife = time.Minute
 	// minSamples is the least number of samples of a level that counts.
-	minSamples = 4
+	minSamples = 3
 	// minSpread is the least spread that levels are credited with.
 	minSpread = 0.3
 	// madScale makes the median absolute deviation comparable to a standard deviation.
@@ -22,6 +22,8 @@
 	madLimit = 4
 	// slowSigmas is the number of standard errors that an outlier exceeds.
 	slowSigmas = 5.5
+	// slowEvidence is the evidence of slowness, in nats, that is significant.
+	slowEvidence = 14
 	// failingEvidence is the evidence of errors, in nats, that makes an outlier.
 	failingEvidence = 14
 	// failingPeers is the evidence of errors at the median peer from which errors are common to all.
@@ -48,9 +50,11 @@
 	known bool
 }
 
-// slow reports whether the comparison shows an outlier.
-func (c comparison) slow() bool {
-	return c.known && c.ratio >= max(slowRatio, madLimit*c.deviation) && c.ratio >= slowSigmas*c.sigma
+// slow reports whether the comparison shows an outlier. The guard's evidence
+// that service times rose stands in for a large number of samples.
+func (c comparison) slow(slowness float64) bool {
+	significant := slowness >= slowEvidence || c.ratio >= slowSigmas*c.sigma
+	return c.known && significant && c.ratio >= max(slowRatio, madLimit*c.deviation)
 }
 
 // usual reports whether the comparison shows nothing unusual.
@@ -138,7 +142,7 @@
 		return Stalled
 	case s.report.Errors >= failingEvidence && median(without(b.errors, s.report.Errors)) < failingPeers:
 		return Failing
-	case c.slow():
+	case c.slow(s.report.Slowness):
 		return Slow
 	}
 	return None
--- a/choice/report/codec.go
+++ b/choice/report/codec.go
@@ -14,23 +14,23 @@
 
 const (
 	// size is the length of a packed report in bytes.
-	size = 17
+	size = 18
 	// stepsPerOctave is the precision of packed durations and counts: 9%.
 	stepsPerOctave = 8
 	// spreadSteps is the number of packed steps per unit of spread.
 	spreadSteps = 50
-	// errorSteps is the number of packed steps per nat of error evidence.
-	errorSteps = 4
+	// evidenceSteps is the number of packed steps per nat of evidence.
+	evidenceSteps = 4
 )
 
-// MarshalBinary packs the report into 17 bytes. Durations are rounded by at most 9%.
+// MarshalBinary packs the report into 18 bytes. Durations are rounded by at most 9%.
 func (r Report) MarshalBinary() ([]byte, error) {
 	data := make([]byte, 0, size)
 	data = append(data, packCount(r.InUse), packCount(r.Queued), packCount(r.Limit), packCount(r.Slots))
 	for _, l := range r.Levels {
 		data = append(data, packLog(float64(l.Time.Microseconds())), packStep(l.Spread, spreadSteps), packLog(l.Samples))
 	}
-	data = append(data, packStep(r.Errors, errorSteps), packLog(float64(r.Stalled.Milliseconds())))
+	data = append(data, packStep(r.Errors, evidenceSteps), packStep(r.Slowness, evidenceSteps), packLog(float64(r.Stalled.Milliseconds())))
 	return binary.BigEndian.AppendUint16(data, r.Completed), nil
 }
 
@@ -49,9 +49,10 @@
 		}
 		at += 3
 	}
-	r.Errors = float64(data[at]) / errorSteps
-	r.Stalled = time.Duration(unpackLog(data[at+1]) * float64(time.Millisecond))
-	r.Completed = binary.BigEndian.Uint16(data[at+2:])
+	r.Errors = float64(data[at]) / evidenceSteps
+	r.Slowness = float64(data[at+1]) / evidenceSteps
+	r.Stalled = time.Duration(unpackLog(data[at+2]) * float64(time.Millisecond))
+	r.Completed = binary.BigEndian.Uint16(data[at+3:])
 	return nil
 }
 
--- a/choice/report/report.go
+++ b/choice/report/report.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	text, err := r.MarshalText() // 22 characters, fits a header
+//	text, err := r.MarshalText() // 24 characters, fits a header
 //	err = r.UnmarshalText(text)  // errors.Is(err, report.ErrMalformed)
 package report
 
@@ -36,6 +36,8 @@
 	Levels [class.Count]Level
 	// Errors is the evidence of a raised error share in nats (cumulative sum of log-likelihood ratios).
 	Errors float64
+	// Slowness is the evidence in nats that service times rose above those usual for the backend server.
+	Slowness float64
 	// Stalled is how long requests have run without any completing; zero if it is not stalled.
 	Stalled time.Duration
 	// Completed counts completed requests and wraps around.
