Read release notes and keep their signatures

A note lists what is added, changed and withdrawn on a base revision. Its tables of keys serve the check, the draft and docs/RELEASE-NOTES.md; applying it is strict (added must not exist, the rest must) and every mistake names its section and key. approval keeps owners' signatures in a file beside the note.

--- /dev/null
+++ b/config/approval/approval_test.go
@@ -0,0 +1,32 @@
+package approval
+
+import (
+	"errors"
+	"testing"
+
+	"berylpass/config/manifest"
+	"berylpass/config/mistake"
+	"berylpass/config/signature"
+)
+
+func TestParseRestoresWhatEncodeWrote(t *testing.T) {
+	a := New(7, manifest.Digest{1, 2}).
+		With(signature.Signature{Owner: "ola", Bytes: []byte("first")}).
+		With(signature.Signature{Owner: "marek", Bytes: []byte("other")}).
+		With(signature.Signature{Owner: "ola", Bytes: []byte("second")})
+	parsed, err := Parse("7.ini.signed", a.Encode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(parsed.Encode()) != string(a.Encode()) || len(parsed.Owners()) != 2 || parsed.Digest != a.Digest || parsed.Revision != 7 {
+		t.Errorf("got %+v, want %+v", parsed, a)
+	}
+}
+
+func TestMistakes(t *testing.T) {
+	_, err := Parse("x", []byte("[manifest]\nrevision = -1\n[signatures]\nola = ?\n[weather]\n"))
+	var found mistake.List
+	if !errors.As(err, &found) || len(found) != 4 {
+		t.Errorf("got %v, want 4 mistakes", err)
+	}
+}
--- /dev/null
+++ b/config/note/apply.go
@@ -0,0 +1,51 @@
+package note
+
+import (
+	"fmt"
+	"maps"
+
+	"berylpass/config/mistake"
+	"berylpass/config/rules"
+	"berylpass/config/snapshot"
+)
+
+// Apply returns the revision after base that the note makes. Its errors are
+// ErrBase, if base is not the revision that the note names, and a mistake.List.
+func (n Note) Apply(base snapshot.Snapshot) (snapshot.Snapshot, error) {
+	if base.Revision != n.Base {
+		return snapshot.Snapshot{}, fmt.Errorf("%w: it names revision %d, in force is %d", ErrBase, n.Base, base.Revision)
+	}
+	next := snapshot.Snapshot{
+		Revision:      n.Base + 1,
+		Organisations: maps.Clone(base.Organisations),
+		Routes:        maps.Clone(base.Routes),
+		Services:      maps.Clone(base.Services),
+		Datacentres:   maps.Clone(base.Datacentres),
+	}
+	var found mistake.List
+	for _, c := range n.Changes {
+		found = append(found, editors[c.Kind].apply(c, n.File, next)...)
+	}
+	for _, v := range rules.Check(next) {
+		found = append(found, n.locate(v))
+	}
+	if len(found) > 0 {
+		return snapshot.Snapshot{}, found
+	}
+	return next.Index(), nil
+}
+
+// locate turns a broken rule into a mistake in the section that names the item,
+// or in none if the item is one of the base revision.
+func (n Note) locate(v rules.Violation) mistake.Mistake {
+	for _, c := range n.Changes {
+		if c.Kind == v.Kind && c.Name == v.Name {
+			return mistake.Mistake{File: n.File, Section: c.section(), Key: v.Key, Text: v.Text}
+		}
+	}
+	text := v.Text
+	if v.Name != "" {
+		text = fmt.Sprintf("%s %q of the base revision: %s", v.Kind, v.Name, v.Text)
+	}
+	return mistake.Mistake{File: n.File, Text: text}
+}
