--- /dev/null
+++ b/operate/status/status.go
@@ -0,0 +1,122 @@
+// Package status describes a daemon and its view of the fleet for operators.
+//
+// A daemon serves its Status as JSON on the operators' port under /status;
+// `berylpass status` reads it and prints the tables.
+//
+// # Usage
+//
+//	s, err := status.Fetch(ctx, "http://127.0.0.1:7005")
+//	err = s.WriteTable(os.Stdout)
+package status
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"text/tabwriter"
+
+	"berylpass/choice/picker"
+)
+
+// maxBody bounds a status in bytes: 3,400 backend servers take less than 2 MiB.
+const maxBody = 16 << 20
+
+// ErrUnreadable reports a daemon whose status could not be had.
+var ErrUnreadable = errors.New("status can't be read")
+
+// Member is one daemon as the asked daemon sees it.
+type Member struct {
+	ID         string `json:"id"`
+	Datacentre string `json:"datacentre"`
+	State      string `json:"state"`
+	Revision   uint64 `json:"revision"`
+	Control    string `json:"control"`
+}
+
+// Datacentre is one data centre of the configuration.
+type Datacentre struct {
+	Name      string `json:"name"`
+	Region    string `json:"region"`
+	InService bool   `json:"in-service"`
+	Members   int    `json:"members"`
+	Backends  int    `json:"backends"`
+}
+
+// Status is a daemon and its view of the fleet.
+type Status struct {
+	Daemon      string `json:"daemon"`
+	Datacentre  string `json:"datacentre"`
+	Version     string `json:"version"`
+	Incarnation uint64 `json:"incarnation"`
+	Revision    uint64 `json:"revision"`
+	// Ready is "ready" or, in kebab case, why the daemon takes no requests.
+	Ready       string        `json:"ready"`
+	InFlight    int           `json:"in-flight"`
+	Members     []Member      `json:"members"`
+	Datacentres []Datacentre  `json:"datacentres"`
+	Backends    []picker.Line `json:"backends"`
+}
+
+// Fetch reads the status of the daemon whose operators' port is at baseURL. Its error wraps ErrUnreadable.
+func Fetch(ctx context.Context, baseURL string) (Status, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, baseURL+"/status", nil)
+	if err != nil {
+		return Status{}, fmt.Errorf("%w: %w", ErrUnreadable, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return Status{}, fmt.Errorf("%w: %w", ErrUnreadable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return Status{}, fmt.Errorf("%w: %s answers %s", ErrUnreadable, baseURL, response.Status)
+	}
+	var s Status
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxBody)).Decode(&s); err != nil {
+		return Status{}, fmt.Errorf("%w: %w", ErrUnreadable, err)
+	}
+	return s, nil
+}
+
+// WriteTable writes the status for people.
+func (s Status) WriteTable(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "daemon %s in %s: %s, revision %d, %d requests in flight\n\n",
+		s.Daemon, s.Datacentre, s.Ready, s.Revision, s.InFlight); err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row(t, "MEMBER", "DATA CENTRE", "STATE", "REVISION", "CONTROL")
+	for _, m := range s.Members {
+		row(t, m.ID, m.Datacentre, m.State, strconv.FormatUint(m.Revision, 10), m.Control)
+	}
+	row(t)
+	row(t, "DATA CENTRE", "REGION", "SERVICE", "MEMBERS", "BACKENDS")
+	for _, d := range s.Datacentres {
+		row(t, d.Name, d.Region, inOrOut(d.InService), strconv.Itoa(d.Members), strconv.Itoa(d.Backends))
+	}
+	row(t)
+	row(t, "BACKEND", "SERVICE", "DATA CENTRE", "STATE", "REASON", "IN USE", "QUEUED", "LIMIT")
+	for _, b := range s.Backends {
+		row(t, string(b.Backend), b.Service, b.Datacentre, b.State, b.Reason,
+			strconv.Itoa(b.InUse), strconv.Itoa(b.Queued), strconv.Itoa(b.Limit))
+	}
+	return t.Flush()
+}
+
+func inOrOut(in bool) string {
+	if in {
+		return "in"
+	}
+	return "out"
+}
+
+func row(w io.Writer, cells ...string) {
+	for _, c := range cells {
+		_, _ = io.WriteString(w, c+"\t")
+	}
+	_, _ = io.WriteString(w, "\n")
+}
