--- /dev/null
+++ b/fleet/membership/option.go
@@ -0,0 +1,51 @@
+package membership
+
+import (
+	"time"
+
+	"berylpass/fleet/backend"
+	"berylpass/fleet/member"
+	"berylpass/fleet/roster"
+)
+
+type options struct {
+	seeds        []string
+	randomSeed   uint64
+	clock        func() time.Time
+	onMember     func(member.Member)
+	onBackend    func(backend.Backend)
+	onRevision   func(revision uint64, from member.ID)
+	onClock      func(roster.ClockHeard)
+	onSuperseded func(incarnation uint64)
+}
+
+// Option changes a membership that New makes.
+type Option func(*options)
+
+// WithSeeds names control addresses to join by when the store is away.
+func WithSeeds(addresses ...string) Option { return func(o *options) { o.seeds = addresses } }
+
+// WithRandomSeed seeds the choice of probes and helpers.
+func WithRandomSeed(seed uint64) Option { return func(o *options) { o.randomSeed = seed } }
+
+// WithClock replaces time.Now.
+func WithClock(clock func() time.Time) Option { return func(o *options) { o.clock = clock } }
+
+// WithOnMember is called with each new state of another daemon.
+func WithOnMember(f func(member.Member)) Option { return func(o *options) { o.onMember = f } }
+
+// WithOnBackend is called with each new state of a backend server.
+func WithOnBackend(f func(backend.Backend)) Option { return func(o *options) { o.onBackend = f } }
+
+// WithOnRevision is called with the configuration revision that each message carries.
+func WithOnRevision(f func(revision uint64, from member.ID)) Option {
+	return func(o *options) { o.onRevision = f }
+}
+
+// WithOnClock is called with the sender's clock reading that each message carries.
+func WithOnClock(f func(roster.ClockHeard)) Option { return func(o *options) { o.onClock = f } }
+
+// WithOnSuperseded is called when a daemon with the same ID has started later.
+func WithOnSuperseded(f func(incarnation uint64)) Option {
+	return func(o *options) { o.onSuperseded = f }
+}
--- /dev/null
+++ b/fleet/membership/record.go
@@ -0,0 +1,70 @@
+package membership
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"berylpass/fleet/member"
+	"berylpass/fleet/roster"
+	"berylpass/platform/object"
+)
+
+// recordPrefix precedes the member's ID in the keys of member records.
+const recordPrefix = "members/"
+
+// errState reports a member record with an unknown state.
+var errState = errors.New("unknown state of a member")
+
+// record is the JSON form of a member record.
+type record struct {
+	ID          member.ID `json:"id"`
+	Datacentre  string    `json:"datacentre"`
+	Control     string    `json:"control"`
+	Data        string    `json:"data"`
+	Incarnation uint64    `json:"incarnation"`
+	Version     uint64    `json:"version"`
+	State       string    `json:"state"`
+}
+
+func recordKey(id member.ID) string { return recordPrefix + string(id) }
+
+func encodeRecord(r roster.Record) ([]byte, error) {
+	m := r.Member
+	return json.Marshal(record{
+		ID: m.ID, Datacentre: m.Datacentre, Control: m.Control, Data: m.Data,
+		Incarnation: m.Incarnation, Version: r.Version, State: m.State.String(),
+	})
+}
+
+func decodeRecord(o object.Object) (roster.Record, error) {
+	var r record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return roster.Record{}, fmt.Errorf("read member record %s: %w", o.Key, err)
+	}
+	if recordKey(r.ID) != o.Key {
+		return roster.Record{}, fmt.Errorf("read member record %s: it names %q", o.Key, r.ID)
+	}
+	for _, state := range [...]member.State{member.Serving, member.Leaving} {
+		if state.String() == r.State {
+			m := member.New(r.ID, r.Datacentre).WithAddresses(r.Control, r.Data).
+				WithIncarnation(r.Incarnation).WithState(state)
+			return roster.Record{Member: m, Version: r.Version}, nil
+		}
+	}
+	return roster.Record{}, fmt.Errorf("read member record %s: %w %q", o.Key, errState, r.State)
+}
+
+// decodeRecords leaves out objects that are deleted or no valid records.
+func decodeRecords(objects []object.Object) []roster.Record {
+	records := make([]roster.Record, 0, len(objects))
+	for _, o := range objects {
+		if o.Deleted {
+			continue
+		}
+		if r, err := decodeRecord(o); err == nil {
+			records = append(records, r)
+		}
+	}
+	return records
+}
