--- /dev/null
+++ b/guard/check.go
@@ -0,0 +1,68 @@
+package guard
+
+import (
+	"time"
+
+	"berylpass/config/snapshot"
+	"berylpass/fleet/backend"
+	"berylpass/hop"
+)
+
+// The reasons, besides those of the ledger and the gate, for which a guard
+// refuses a request as not run.
+const (
+	ReasonExpired      = "expired"
+	ReasonNoRoute      = "no-route"
+	ReasonKeyWithdrawn = "key-withdrawn"
+	ReasonNoBackend    = "no-backend"
+	ReasonDraining     = "backend-draining"
+	ReasonOutOfService = "datacentre-out-of-service"
+	ReasonOtherService = "other-service"
+	ReasonLeaving      = "leaving"
+	ReasonOverLimit    = "over-limit"
+	ReasonNoLease      = "no-lease"
+	ReasonShed         = "backend-shed"
+	ReasonNotSent      = "backend-unreachable"
+	reasonNone         = ""
+)
+
+// check returns why the request must not run now, or reasonNone. The caller holds g.mu.
+func (g *Guard) check(now time.Time, s snapshot.Snapshot, e hop.Envelope) string {
+	if now.Sub(g.started).Milliseconds() >= e.Expires {
+		return ReasonExpired
+	}
+	route, ok := s.Routes[e.Route]
+	if !ok {
+		return ReasonNoRoute
+	}
+	if !allowed(s, e, route.Open) {
+		return ReasonKeyWithdrawn
+	}
+	if !s.InService(g.self.Datacentre) {
+		return ReasonOutOfService
+	}
+	target, known := g.backends[e.Backend]
+	switch {
+	case !known:
+		return ReasonNoBackend
+	case target.Service != route.Service:
+		return ReasonOtherService
+	case target.State != backend.Serving:
+		return ReasonDraining
+	}
+	return reasonNone
+}
+
+// allowed reports whether the key that came with the request is in force for
+// its organisation, or no key is needed.
+func allowed(s snapshot.Snapshot, e hop.Envelope, open bool) bool {
+	if e.Organisation == "" {
+		return open
+	}
+	return s.HasKey(e.Organisation, e.KeyID)
+}
+
+// inService reports whether backend servers of this VM take new work.
+func (g *Guard) inService(s snapshot.Snapshot) bool {
+	return !g.leaving && s.InService(g.self.Datacentre)
+}
--- /dev/null
+++ b/guard/guard.go
@@ -0,0 +1,175 @@
+// Package guard is the only way to the backend servers of one VM.
+//
+// It holds the exact truth about each backend server beside it and checks every
+// forwarded request again with its own configuration, so that an ingress with an
+// old view can't break an invariant alone. A request passes, in this order: the
+// ledger (never twice, never after a cancel), the checks, the gate (slots, ramp,
+// queue), the checks once more, the limit's token, and the leg to the backend server.
+//
+// # Usage
+//
+//	g := guard.New(self, guard.Parts{Configuration: c, Leg: leg.New(), Limit: desk})
+//	mesh.Register(guard.ServiceName, g.Receiver())
+//	data, err := httpport.New(address, g, httpport.WithTLS(tls))
+//	backends, err := httpport.New(loopback, announcement.New(g))
+//	g.Drain(ctx) // on leave: refuses new requests, waits for those in flight
+//	g.Close()
+package guard
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"berylpass/attempt/id"
+	"berylpass/attempt/ledger"
+	"berylpass/choice/gate"
+	"berylpass/choice/report"
+	"berylpass/config/snapshot"
+	"berylpass/fleet/backend"
+	"berylpass/fleet/member"
+	"berylpass/leg"
+	"berylpass/limit/enforcer"
+)
+
+// tickInterval is the pause between two runs of the gate's systems.
+const tickInterval = 50 * time.Millisecond
+
+// Configuration yields the snapshot in force.
+type Configuration interface {
+	Current() snapshot.Snapshot
+}
+
+// Leg runs a request on a backend server. Its errors wrap leg.ErrNotSent or leg.ErrUnknown.
+type Leg interface {
+	Run(ctx context.Context, address string, r leg.Request) (leg.Answer, error)
+}
+
+// Limit draws a token of an organisation's limit; it is asked when the token
+// that came with a request has lapsed. A token allows one dispatch until it
+// lapses; Started tells that it was used, Return that it certainly was not.
+type Limit interface {
+	Draw(ctx context.Context, organisation string) (enforcer.Token, error)
+	Started(t enforcer.Token)
+	Return(t enforcer.Token)
+}
+
+// Observer learns what happens at the guard. Its methods must not block.
+type Observer interface {
+	BackendChanged(b backend.Backend)
+	Refused(reason string)
+	// Noticed passes on that the state of a backend server changed markedly.
+	Noticed(id backend.ID, r report.Report)
+}
+
+// Parts are what a guard works with.
+type Parts struct {
+	Configuration Configuration
+	Leg           Leg
+	Limit         Limit
+	Observer      Observer
+	Clock         func() time.Time
+}
+
+// Guard forwards requests to the backend servers beside it.
+type Guard struct {
+	Parts
+	self    member.Member
+	started time.Time
+	done    chan struct{}
+	wait    sync.WaitGroup
+
+	mu       sync.Mutex
+	ledger   *ledger.Ledger
+	gate     *gate.Gate
+	backends map[backend.ID]registered
+	passes   map[id.ID]*pass
+	leaving  bool
+}
+
+// New returns a guard for the daemon self without backend servers. Nil parts get defaults where there are any.
+func New(self member.Member, parts Parts) *Guard {
+	if parts.Clock == nil {
+		parts.Clock = time.Now
+	}
+	started := parts.Clock()
+	g := &Guard{
+		Parts:    parts,
+		self:     self,
+		started:  started,
+		done:     make(chan struct{}),
+		ledger:   ledger.New(started, self.Incarnation, ledger.DefaultCapacity),
+		gate:     gate.New(),
+		backends: map[backend.ID]registered{},
+		passes:   map[id.ID]*pass{},
+	}
+	g.wait.Go(func() {
+		ticker := time.NewTicker(tickInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				g.tick(g.Parts.Clock())
+			case <-g.done:
+				return
+			}
+		}
+	})
+	return g
+}
+
+// GuardClock returns the guard's clock: milliseconds since its start.
+func (g *Guard) GuardClock() int64 { return g.Clock().Sub(g.started).Milliseconds() }
+
+// ConfigurationChanged refuses the waiting requests that the new snapshot no longer allows.
+func (g *Guard) ConfigurationChanged(s snapshot.Snapshot) {
+	now := g.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, attempt := range g.waitingIDs() {
+		p := g.passes[attempt]
+		if reason := g.check(now, s, p.envelope); reason != reasonNone {
+			p.reason = reason
+			g.apply(now, g.gate.Update(now, gate.Withdraw{ID: attempt}))
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
+		g.apply(now, g.gate.Update(now, gate.ServiceSeen{Service: s.Services[name]}))
+	}
+	for _, known := range g.backendIDs() {
+		g.apply(now, g.gate.Update(now, gate.BackendSeen{Backend: g.backends[known].Backend, InService: g.inService(s)}))
+	}
+}
+
+// InFlight returns the number of requests that wait or run.
+func (g *Guard) InFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.passes)
+}
+
+// Drain refuses new requests as not run and waits until none is in flight or ctx ends.
+func (g *Guard) Drain(ctx context.Context) error {
+	g.mu.Lock()
+	g.leaving = true
+	g.mu.Unlock()
+	g.ConfigurationChanged(g.Configuration.Current())
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for g.InFlight() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Close stops the guard's goroutines.
+func (g *Guard) Close() {
+	close(g.done)
+	g.wait.Wait()
+}
