Publish revisions by one conditional write

archive puts chunks and the note first, records the base in the history, and then writes config/current once, conditionally; a lost answer is read back, a lost race is ErrConflict, and publishing what is published succeeds.

--- /dev/null
+++ b/config/archive/publish.go
@@ -0,0 +1,180 @@
+package archive
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+
+	"berylpass/config/chunk"
+	"berylpass/config/manifest"
+	"berylpass/config/signature"
+	"berylpass/platform/object"
+)
+
+// maxTries is the number of times that a write with a lost answer is tried.
+const maxTries = 5
+
+// Revision is what is published.
+type Revision struct {
+	Envelope signature.Envelope
+	// Chunks are all chunks of the manifest.
+	Chunks []chunk.Chunk
+	// Note is the text of the release note.
+	Note []byte
+}
+
+// Publish makes a revision the one in force, on the head that it was made on.
+// Publishing what is already published succeeds. Errors: ErrConflict if another
+// revision won, signature.ErrNotSigned, and those of the store; after
+// object.ErrUnknown publish again to learn what became of it.
+func (a *Archive) Publish(ctx context.Context, head Head, r Revision) error {
+	envelope := r.Envelope.Encode()
+	m, err := a.verifier.Manifest(envelope)
+	if err != nil {
+		return err
+	}
+	if done, err := a.published(ctx, head, m); done || err != nil {
+		return err
+	}
+	if err := a.putParts(ctx, head, m, r); err != nil {
+		return err
+	}
+	if err := a.putHistory(ctx, head); err != nil {
+		return err
+	}
+	return a.putCurrent(ctx, head, m, envelope)
+}
+
+// published reports whether head is m, or made on it, and ErrConflict if m
+// neither is published nor fits head.
+func (a *Archive) published(ctx context.Context, head Head, m manifest.Manifest) (bool, error) {
+	if head.Base() == m.Digest() {
+		return true, nil
+	}
+	if head.Base() == m.Base && m.Revision == head.Manifest.Revision+1 {
+		return false, nil
+	}
+	conflict := fmt.Errorf("%w: the note makes revision %d, in force is %d", ErrConflict, m.Revision, head.Manifest.Revision)
+	if m.Revision >= head.Manifest.Revision {
+		return false, conflict
+	}
+	// Whoever published on top of a revision has put it into the history before.
+	o, err := a.store.Get(ctx, historyKey(m.Revision))
+	if errors.Is(err, object.ErrNotFound) {
+		return false, conflict
+	}
+	if err != nil {
+		return false, fmt.Errorf("read the history: %w", err)
+	}
+	past, err := a.verifier.Manifest(o.Value)
+	if err != nil || past.Digest() != m.Digest() {
+		return false, conflict
+	}
+	return true, nil
+}
+
+// putParts puts the note and the chunks that the head does not name.
+func (a *Archive) putParts(ctx context.Context, head Head, m manifest.Manifest, r Revision) error {
+	held := map[chunk.Digest]bool{}
+	for _, reference := range head.Manifest.References {
+		held[reference.Digest] = true
+	}
+	for _, c := range r.Chunks {
+		if held[c.Digest()] {
+			continue
+		}
+		if err := a.putPart(ctx, chunk.Key(c.Digest()), c.Value); err != nil {
+			return err
+		}
+	}
+	return a.putPart(ctx, noteKey(m.Note), r.Note)
+}
+
+// putPart writes a value even if the store holds it already: its version then
+// rises above that of the head, which keeps a cleaning from removing it.
+func (a *Archive) putPart(ctx context.Context, key string, value []byte) error {
+	var version uint64
+	var err error
+	for range maxTries {
+		_, err = a.store.Put(ctx, key, value, version)
+		if !errors.Is(err, object.ErrConflict) && !errors.Is(err, object.ErrUnknown) {
+			break
+		}
+		o, errGet := a.store.Get(ctx, key)
+		switch {
+		case errors.Is(errGet, object.ErrNotFound):
+			version = 0
+		case errGet != nil:
+			return fmt.Errorf("read back %s: %w", key, errGet)
+		default:
+			version = o.Version
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("write %s: %w", key, err)
+	}
+	return nil
+}
+
+// putHistory records the head, so that it can be found after it is replaced.
+func (a *Archive) putHistory(ctx context.Context, head Head) error {
+	if head.Manifest.Revision == 0 {
+		return nil
+	}
+	key := historyKey(head.Manifest.Revision)
+	var version uint64
+	for range maxTries {
+		_, err := a.store.Put(ctx, key, head.envelope, version)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, object.ErrConflict) && !errors.Is(err, object.ErrUnknown) {
+			return fmt.Errorf("write the history: %w", err)
+		}
+		o, err := a.store.Get(ctx, key)
+		switch {
+		case errors.Is(err, object.ErrNotFound):
+			version = 0
+		case err != nil:
+			return fmt.Errorf("read back the history: %w", err)
+		case bytes.Equal(o.Value, head.envelope):
+			return nil
+		default:
+			version = o.Version
+		}
+	}
+	return fmt.Errorf("write the history: %w", object.ErrUnknown)
+}
+
+// putCurrent is the one write that decides.
+func (a *Archive) putCurrent(ctx context.Context, head Head, m manifest.Manifest, envelope []byte) error {
+	for range maxTries {
+		o, err := a.store.Put(ctx, CurrentKey, envelope, head.Version)
+		if err == nil {
+			a.finish(ctx, Head{Manifest: m, Version: o.Version, envelope: envelope})
+			return nil
+		}
+		if !errors.Is(err, object.ErrConflict) && !errors.Is(err, object.ErrUnknown) {
+			return fmt.Errorf("write the revision: %w", err)
+		}
+		now, errGet := a.Head(ctx)
+		if errGet != nil {
+			return fmt.Errorf("%w: publish again to learn what became of it: %w", object.ErrUnknown, errGet)
+		}
+		if now.Version == head.Version {
+			continue
+		}
+		done, err := a.published(ctx, now, m)
+		if done {
+			a.finish(ctx, now)
+			return nil
+		}
+		if err == nil {
+			// The head fits again, so it was replaced and restored: not by berylpass.
+			err = ErrConflict
+		}
+		return err
+	}
+	return fmt.Errorf("write the revision: %w: publish again to learn what became of it", object.ErrUnknown)
+}
