Ask a guard before its path is ejected; compare slowness with peers

Change: the guard's evidence of slowness counts less that of the median peer, after a time in which notices about peers arrive; a change empties the long window; a silent path is ejected only after its guard left a question unanswered. The limiter ramps by the age of the incarnation: the fuzz test of the gate found two requests at once 2.5 s after a start when the slots had shrunk during the ramp.

--- a/choice/evidence/evidence.go
+++ b/choice/evidence/evidence.go
@@ -42,6 +42,9 @@
 	agedFactor = 4
 	// minSpread is the least spread that service times are credited with.
 	minSpread = 0.3
+	// risen and fallen are the evidence of slowness, in nats, from which service
+	// times count as changed and as back to what was usual.
+	risen, fallen = 14, 1
 	// maxSlownessStep bounds the evidence, in nats, of one service time.
 	maxSlownessStep = 3
 
@@ -49,7 +52,7 @@
 	usualErrors  = 0.01
 	raisedErrors = 0.2
 	// Max bounds the evidence of errors and of slowness in nats, so that it can fall again.
-	Max = 30
+	Max = 20
 )
 
 var (
@@ -64,6 +67,7 @@
 type Evidence struct {
 	short, long, usual [class.Count]window.Window
 	errors, slowness   float64
+	changed            bool
 	completed          uint16
 }
 
@@ -159,6 +163,17 @@
 	e.short[c].Add(now, x)
 	e.long[c].Add(now, x)
 	e.usual[c].Add(now, x)
+	if !e.changed && e.slowness >= risen || e.changed && e.slowness < fallen {
+		e.changed = !e.changed
+		e.forget()
+	}
+}
+
+// forget drops from the long windows what lies before a change.
+func (e *Evidence) forget() {
+	for c := range e.long {
+		e.long[c] = e.short[c].WithSpan(longSpan)
+	}
 }
 
 // step returns the log-likelihood ratio of one service time x, a logarithm.
--- /dev/null
+++ b/choice/floor/floor_test.go
@@ -0,0 +1,60 @@
+package floor_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"berylpass/choice/floor"
+	"berylpass/fleet/backend"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		flag.Set("rapid.seed", "11")
+	}
+	os.Exit(m.Run())
+}
+
+// TestKeep checks every draw against the definition: all without badness stay,
+// the share is reached, and nothing is kept beyond need or out of order.
+func TestKeep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		var all []floor.Candidate
+		for i := range rapid.IntRange(0, 12).Draw(t, "count") {
+			all = append(all, floor.Candidate{
+				ID:      backend.ID(fmt.Sprint(i)),
+				Slots:   rapid.IntRange(1, 8).Draw(t, "slots"),
+				Badness: float64(rapid.IntRange(0, 4).Draw(t, "badness")),
+			})
+		}
+		kept := make(map[backend.ID]floor.Candidate)
+		inUse, total, worst := 0, 0, 0.0
+		for _, c := range floor.New(share).Keep(all) {
+			kept[c.ID] = c
+			inUse += c.Slots
+			worst = max(worst, c.Badness)
+		}
+		least := 0
+		for _, c := range all {
+			total += c.Slots
+			_, in := kept[c.ID]
+			if !in && c.Badness < worst || !in && c.Badness == 0 {
+				t.Fatalf("%+v is left out, worse ones are kept", c)
+			}
+			if in && c.Badness == worst && (least == 0 || c.Slots < least) {
+				least = c.Slots
+			}
+		}
+		if float64(inUse) < share*float64(total) || len(all) > 0 && len(kept) == 0 {
+			t.Fatalf("kept %d of %d slots, share %v", inUse, total, share)
+		}
+	})
+}
--- /dev/null
+++ b/choice/gate/gate_test.go
@@ -0,0 +1,197 @@
+package gate_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"berylpass/attempt/id"
+	"berylpass/choice/gate"
+	"berylpass/choice/verdict"
+	"berylpass/config/class"
+	"berylpass/config/service"
+	"berylpass/decision"
+	"berylpass/fleet/backend"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		flag.Set("rapid.seed", "13")
+	}
+	os.Exit(m.Run())
+}
+
+// request is what the oracle knows of one Arrive.
+type request struct {
+	event  gate.Arrive
+	ended  bool
+	run    bool
+	active bool
+}
+
+// oracle recounts what the gate does.
+type oracle struct {
+	g        *gate.Gate
+	now      time.Time
+	seen     map[backend.ID]gate.BackendSeen
+	began    map[backend.ID]time.Time
+	requests map[id.ID]*request
+	order    []id.ID
+	ramp     time.Duration
+}
+
+// apply feeds an event and checks every action.
+func (o *oracle) apply(t *rapid.T, event decision.Event) {
+	for _, a := range o.g.Update(o.now, event) {
+		switch a := a.(type) {
+		case gate.Run:
+			r := o.end(t, a.ID)
+			r.run, r.active = true, true
+			o.admitted(t, a, r)
+		case gate.Shed:
+			o.end(t, a.ID)
+		case gate.Withdrawn:
+			o.end(t, a.ID)
+		}
+	}
+}
+
+// end holds that a request gets one outcome.
+func (o *oracle) end(t *rapid.T, attempt id.ID) *request {
+	r := o.requests[attempt]
+	if r == nil || r.ended {
+		t.Fatalf("%v gets an outcome twice, or never arrived", attempt)
+	}
+	r.ended = true
+	return r
+}
+
+// admitted checks a run against the definition of what a backend server bears.
+func (o *oracle) admitted(t *rapid.T, a gate.Run, r *request) {
+	e, ok := o.seen[a.Backend]
+	if !ok || !e.InService || e.Backend.State != backend.Serving {
+		t.Fatalf("run on %s, which takes no work", a.Backend)
+	}
+	if o.now.After(r.event.Expires) {
+		t.Fatalf("run %v after it expired", o.now.Sub(r.event.Expires))
+	}
+	running := 0
+	for _, other := range o.requests {
+		if other.active && other.event.Backend == a.Backend {
+			running++
+		}
+	}
+	age := o.now.Sub(o.began[a.Backend])
+	bears := 1 + float64(e.Backend.Slots-1)*min(float64(age)/float64(o.ramp), 1)
+	if float64(running) > bears+1e-6 {
+		t.Fatalf("%d run on %s, which bears %.2f %v after its start", running, a.Backend, bears, age)
+	}
+}
+
+// settle checks that every request has an outcome or still waits.
+func (o *oracle) settle(t *rapid.T) {
+	queued := make(map[backend.ID]int)
+	for _, attempt := range o.order {
+		if r := o.requests[attempt]; !r.ended {
+			queued[r.event.Backend]++
+		}
+	}
+	for n := range o.seen {
+		r, _ := o.g.Report(o.now, n)
+		if r.Queued != queued[n] {
+			t.Fatalf("%d wait for %s, %d have no outcome", r.Queued, n, queued[n])
+		}
+		delete(queued, n)
+	}
+	if len(queued) > 0 {
+		t.Fatalf("no outcome, and none to come: %v", queued)
+	}
+}
+
+// TestAdmission drives a gate at random and checks slots, ramp, drain, expiry and single outcomes.
+func TestAdmission(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &oracle{g: gate.New(), now: time.Unix(1_800_000_000, 0), seen: make(map[backend.ID]gate.BackendSeen),
+			began: make(map[backend.ID]time.Time), requests: make(map[id.ID]*request), ramp: 10 * time.Second}
+		o.g.Update(o.now, gate.ServiceSeen{Service: service.New("rounds").WithRamp(o.ramp)})
+		name := rapid.SampledFrom([]backend.ID{"r-0", "r-1"})
+		t.Repeat(map[string]func(*rapid.T){
+			"see":      func(t *rapid.T) { o.see(t, name.Draw(t, "backend")) },
+			"lose":     func(t *rapid.T) { o.lose(t, name.Draw(t, "backend")) },
+			"arrive":   func(t *rapid.T) { o.arrive(t, name.Draw(t, "backend")) },
+			"arrive2":  func(t *rapid.T) { o.arrive(t, name.Draw(t, "backend")) },
+			"finish":   o.finish,
+			"withdraw": o.withdraw,
+			"load": func(t *rapid.T) {
+				o.apply(t, gate.LoadReport{Backend: name.Draw(t, "backend"), Slots: rapid.IntRange(0, 3).Draw(t, "slots")})
+			},
+			"pass": func(t *rapid.T) {
+				for range rapid.IntRange(1, 20).Draw(t, "ticks") {
+					o.now = o.now.Add(100 * time.Millisecond)
+					o.apply(t, gate.Tick{})
+				}
+			},
+			"": o.settle,
+		})
+	})
+}
+
+func (o *oracle) see(t *rapid.T, n backend.ID) {
+	e := gate.BackendSeen{InService: rapid.IntRange(0, 5).Draw(t, "in") > 0}
+	e.Backend = backend.New(n, "rounds", "vm").WithSlots(rapid.IntRange(1, 5).Draw(t, "slots")).
+		WithState(backend.State(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2}).Draw(t, "state"))).
+		WithIncarnation(uint64(rapid.IntRange(0, 1).Draw(t, "incarnation")))
+	before, known := o.seen[n]
+	if !known || before.Backend.Incarnation != e.Backend.Incarnation {
+		o.began[n] = o.now
+	}
+	o.seen[n] = e
+	o.apply(t, e)
+}
+
+func (o *oracle) lose(t *rapid.T, n backend.ID) {
+	delete(o.seen, n)
+	for _, r := range o.requests {
+		r.active = r.active && r.event.Backend != n
+	}
+	o.apply(t, gate.BackendLost{ID: n})
+}
+
+func (o *oracle) arrive(t *rapid.T, n backend.ID) {
+	attempt := id.New("vm", 1, uint64(len(o.order)))
+	e := gate.Arrive{ID: attempt, Backend: n,
+		Organisation: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "organisation")),
+		Class:        class.Class(rapid.IntRange(0, 2).Draw(t, "class")),
+		Expires:      o.now.Add(time.Duration(rapid.IntRange(-100, 4000).Draw(t, "expires")) * time.Millisecond)}
+	o.requests[attempt] = &request{event: e}
+	o.order = append(o.order, attempt)
+	o.apply(t, e)
+	if r := o.requests[attempt]; !r.ended || r.active {
+		o.apply(t, e)
+	}
+}
+
+func (o *oracle) finish(t *rapid.T) {
+	running := slices.DeleteFunc(slices.Clone(o.order), func(i id.ID) bool { return !o.requests[i].active })
+	if len(running) == 0 {
+		return
+	}
+	attempt := rapid.SampledFrom(running).Draw(t, "request")
+	o.requests[attempt].active = false
+	o.apply(t, gate.Finished{ID: attempt, Verdict: verdict.Verdict(rapid.IntRange(0, 6).Draw(t, "verdict"))})
+}
+
+func (o *oracle) withdraw(t *rapid.T) {
+	if len(o.order) == 0 {
+		return
+	}
+	o.apply(t, gate.Withdraw{ID: rapid.SampledFrom(o.order).Draw(t, "request")})
+}
--- a/choice/gate/measure.go
+++ b/choice/gate/measure.go
@@ -15,9 +15,9 @@
 	// stalledAfter is the time without completion from which abandoned requests make a stall.
 	stalledAfter = time.Second
 	// failingEvidence is the evidence of errors, in nats, from which a backend server is noticed as failing.
-	failingEvidence = 14
+	failingEvidence = 8
 	// slowEvidence is the evidence of slowness, in nats, from which a backend server is noticed as slow.
-	slowEvidence = 10
+	slowEvidence = 6
 	// noticeInterval is the least time between two notices about a backend server.
 	noticeInterval = 500 * time.Millisecond
 	// noticeTime is how long notices about an unusual condition are repeated.
--- a/choice/limiter/limiter.go
+++ b/choice/limiter/limiter.go
@@ -55,6 +55,9 @@
 type Limiter struct {
 	slots int
 	ramp  time.Duration
+	// started is when the backend server started.
+	started time.Time
+	// limit is the adaptive limit; the ramp bounds it too.
 	limit float64
 	at    time.Time
 	// cutAt is the last cut; excessAtCut is the excess that caused it, zero for other causes.
@@ -68,7 +71,9 @@
 
 // New returns the limiter of a backend server that started at the time now.
 func New(now time.Time, slots int, ramp time.Duration) *Limiter {
-	l := &Limiter{slots: max(slots, 1), ramp: ramp, limit: 1, at: now, growth: 1, excess: window.New(excessSpan)}
+	slots = max(slots, 1)
+	l := &Limiter{slots: slots, ramp: ramp, started: now, limit: float64(slots), at: now, growth: 1}
+	l.excess = window.New(excessSpan)
 	for c := range l.usual {
 		l.usual[c] = window.New(usualSpan)
 	}
@@ -78,8 +83,12 @@
 // Resize sets the slots and the ramp.
 func (l *Limiter) Resize(now time.Time, slots int, ramp time.Duration) {
 	l.grow(now)
+	before := l.slots
 	l.slots, l.ramp = max(slots, 1), ramp
 	l.limit = min(l.limit, float64(l.slots))
+	if l.slots > before {
+		l.limit += float64(l.slots - before)
+	}
 }
 
 // Slots returns the number of requests at once when warm.
@@ -88,7 +97,16 @@
 // Allowed returns how many requests may run at once, from 1 to the slots.
 func (l *Limiter) Allowed(now time.Time) int {
 	l.grow(now)
-	return min(max(int(l.limit), 1), l.slots)
+	return max(int(min(l.limit, l.bears(now))), 1)
+}
+
+// bears returns what the ramp allows at the time now.
+func (l *Limiter) bears(now time.Time) float64 {
+	age := now.Sub(l.started)
+	if age >= l.ramp {
+		return float64(l.slots)
+	}
+	return 1 + float64(l.slots-1)*float64(age)/float64(l.ramp)
 }
 
 // Completed takes the end of a request that started at the given time, with
@@ -159,7 +177,7 @@
 	if now.Sub(l.cutAt) < cutInterval {
 		return
 	}
-	l.limit = max(1, cutFactor*min(l.limit, float64(ran)))
+	l.limit = max(1, cutFactor*min(l.limit, l.bears(now), float64(ran)))
 	l.cutAt, l.excessAtCut, l.growth = now, excess, 1
 	l.waiting = excess > 0
 	l.excess = window.New(excessSpan)
--- a/choice/picker/flight.go
+++ b/choice/picker/flight.go
@@ -18,6 +18,8 @@
 	silentRequests = 2
 	// missLimit is the number of failures in a row that make a path bad.
 	missLimit = 2
+	// AskTimeout bounds the wait for a report that was asked for.
+	AskTimeout = 500 * time.Millisecond
 )
 
 // begin notes an attempt in flight.
@@ -50,15 +52,11 @@
 		s.takeReport(now, *e.Report)
 	}
 	switch {
-	case e.Verdict.Answered():
+	case e.Verdict.Answered() || e.Report != nil:
 		s.lastAnswer, s.path.lastAnswer, s.path.misses = now, now, 0
 		s.path.good++
-	case e.Verdict == verdict.PathFailure, e.Verdict == verdict.Timeout && e.Report == nil:
-		if s.path.misses == 0 {
-			s.path.badSince = now
-		}
-		s.path.misses++
-		s.path.bad++
+	case e.Verdict == verdict.PathFailure, e.Verdict == verdict.Timeout:
+		s.path.miss(now)
 	}
 	if e.Verdict.Faulty() {
 		s.bad++
@@ -67,12 +65,25 @@
 		s.good++
 		s.group.took.Completed(now, e.Class, e.Took, verdict.OK)
 	}
-	if s.path.misses >= missLimit && s.path.probation.State != probation.Ejected {
+	limit := missLimit
+	if n, _ := s.path.silent(now); n > 0 {
+		limit = 1
+	}
+	if s.path.misses >= limit && s.path.probation.State != probation.Ejected {
 		return p.ejectPath(now, s.path)
 	}
 	return nil
 }
 
+// miss counts a failure of the path.
+func (w *path) miss(now time.Time) {
+	if w.misses == 0 {
+		w.badSince = now
+	}
+	w.misses++
+	w.bad++
+}
+
 // silence returns the age from which an unanswered request of class c speaks against its backend server.
 func (g *group) silence(now time.Time, c class.Class) time.Duration {
 	return evidence.Overdue(g.took.Level(now, c, nil))
--- a/choice/picker/judge.go
+++ b/choice/picker/judge.go
@@ -23,11 +23,11 @@
 	// slowSigmas is the number of standard errors that an outlier exceeds.
 	slowSigmas = 5.5
 	// slowEvidence is the evidence of slowness, in nats, that is significant.
-	slowEvidence = 14
+	slowEvidence = 10
 	// failingEvidence is the evidence of errors, in nats, that makes an outlier.
-	failingEvidence = 14
+	failingEvidence = 12
 	// failingPeers is the evidence of errors at the median peer from which errors are common to all.
-	failingPeers = 7
+	failingPeers = 6
 	// passSigmas is the number of standard errors within which a trial is passed.
 	passSigmas = 3
 )
@@ -50,8 +50,9 @@
 	known bool
 }
 
-// slow reports whether the comparison shows an outlier. The guard's evidence
-// that service times rose stands in for a large number of samples.
+// slow reports whether the comparison shows an outlier. Slowness is the guard's
+// evidence that service times rose, less that of the peers; it stands in for a
+// large number of samples.
 func (c comparison) slow(slowness float64) bool {
 	significant := slowness >= slowEvidence || c.ratio >= slowSigmas*c.sigma
 	return c.known && significant && c.ratio >= max(slowRatio, madLimit*c.deviation)
@@ -66,6 +67,8 @@
 type baseline struct {
 	levels [class.Count][]float64
 	errors []float64
+	// slowness holds the sorted evidence of slowness.
+	slowness []float64
 	// stalled and reported count servers with fresh reports.
 	stalled, reported int
 }
@@ -78,6 +81,7 @@
 			continue
 		}
 		b.errors = append(b.errors, s.report.Errors)
+		b.slowness = append(b.slowness, s.report.Slowness)
 		b.reported++
 		if s.report.Stalled > 0 {
 			b.stalled++
@@ -89,6 +93,7 @@
 		}
 	}
 	slices.Sort(b.errors)
+	slices.Sort(b.slowness)
 	for c := range b.levels {
 		slices.Sort(b.levels[c])
 	}
@@ -142,7 +147,7 @@
 		return Stalled
 	case s.report.Errors >= failingEvidence && median(without(b.errors, s.report.Errors)) < failingPeers:
 		return Failing
-	case c.slow(s.report.Slowness):
+	case c.slow(s.report.Slowness - median(without(b.slowness, s.report.Slowness))):
 		return Slow
 	}
 	return None
--- a/choice/picker/message.go
+++ b/choice/picker/message.go
@@ -91,6 +91,14 @@
 	Backend backend.ID
 }
 
+// Ask asks for the report of a guard without running a request, because
+// requests to its backend server are overdue. The adapter bounds it by AskTimeout
+// and ends it with Observed, Attempt zero: verdict Shed and the report if the
+// guard answered, PathFailure if it did not.
+type Ask struct {
+	Backend backend.ID
+}
+
 // Reason is why a backend server was ejected.
 type Reason uint8
 
--- a/choice/picker/picker.go
+++ b/choice/picker/picker.go
@@ -22,7 +22,7 @@
 //	actions := p.Update(now, picker.Observed{Attempt: id, Backend: chosen, Verdict: verdict.OK, Report: &r})
 //	actions = p.Update(now, picker.Tick{}) // every 100 to 250 ms
 //
-// Update returns Ejected, Restored and Probe actions.
+// Update returns Ejected, Restored, Probe and Ask actions.
 package picker
 
 import (
--- /dev/null
+++ b/choice/picker/picker_test.go
@@ -0,0 +1,167 @@
+package picker_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"berylpass/attempt/id"
+	"berylpass/choice/picker"
+	"berylpass/choice/report"
+	"berylpass/choice/verdict"
+	"berylpass/config/class"
+	"berylpass/config/service"
+	"berylpass/fleet/backend"
+	"berylpass/fleet/member"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		flag.Set("rapid.seed", "12")
+	}
+	os.Exit(m.Run())
+}
+
+// oracle is what the test knows of the backend servers without any evidence.
+type oracle struct {
+	p       *picker.Picker
+	now     time.Time
+	seen    map[backend.ID]picker.BackendSeen
+	share   float64
+	next    uint64
+	flights []picker.Picked
+}
+
+// fits returns the slots that may take work.
+func (o *oracle) fits() (total int, ids []backend.ID) {
+	for n, e := range o.seen {
+		if e.InService && e.Backend.State == backend.Serving {
+			total += e.Backend.Slots
+			ids = append(ids, n)
+		}
+	}
+	return total, ids
+}
+
+// check holds the floor and the exclusion of what takes no work, by the picker's own status.
+func (o *oracle) check(t *rapid.T) {
+	total, ids := o.fits()
+	inUse := 0
+	for _, line := range o.p.Status(o.now) {
+		e, ok := o.seen[line.Backend]
+		if !ok {
+			t.Fatalf("%s is listed and was lost", line.Backend)
+		}
+		open := line.State == "in-use" || line.State == "kept-by-floor" || line.State == "suspected"
+		if open && !slices.Contains(ids, line.Backend) {
+			t.Fatalf("%s is %s: it is %s, in service %v", line.Backend, line.State, e.Backend.State, e.InService)
+		}
+		if open {
+			inUse += e.Backend.Slots
+		}
+	}
+	if float64(inUse) < o.share*float64(total) || total > 0 && inUse == 0 {
+		t.Fatalf("%d of %d slots in use, floor %v", inUse, total, o.share)
+	}
+}
+
+// TestFloorAndDrain drives a picker with random evidence and checks after every step
+// that the floor holds and that nothing is picked that takes no work.
+func TestFloorAndDrain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &oracle{p: picker.New(1), now: time.Unix(1_800_000_000, 0), seen: make(map[backend.ID]picker.BackendSeen)}
+		o.share = rapid.SampledFrom([]float64{0, 0.3, 0.5, 0.9, 1}).Draw(t, "floor")
+		o.p.Update(o.now, picker.ServiceSeen{Service: service.New("rounds").WithFloor(o.share)})
+		names := []backend.ID{"r-0", "r-1", "r-2", "r-3", "r-4", "r-5"}
+		name := rapid.SampledFrom(names)
+		t.Repeat(map[string]func(*rapid.T){
+			"see": func(t *rapid.T) {
+				n := name.Draw(t, "backend")
+				vm := member.ID(fmt.Sprintf("vm-%d", rapid.IntRange(0, 2).Draw(t, "vm")))
+				b := backend.New(n, "rounds", vm).WithSlots(rapid.IntRange(1, 5).Draw(t, "slots")).
+					WithState(backend.State(rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(t, "state"))).
+					WithIncarnation(uint64(rapid.IntRange(0, 2).Draw(t, "incarnation")))
+				e := picker.BackendSeen{Backend: b, InService: rapid.IntRange(0, 4).Draw(t, "in") > 0}
+				o.seen[n] = e
+				o.p.Update(o.now, e)
+			},
+			"lose": func(t *rapid.T) {
+				n := name.Draw(t, "backend")
+				delete(o.seen, n)
+				o.p.Update(o.now, picker.BackendLost{ID: n})
+			},
+			"pick": func(t *rapid.T) { o.pick(t, name) },
+			"end":  func(t *rapid.T) { o.end(t) },
+			"report": func(t *rapid.T) {
+				o.p.Update(o.now, picker.PeerReport{Backend: name.Draw(t, "backend"), Report: drawReport(t)})
+			},
+			"pass": func(t *rapid.T) {
+				for range rapid.IntRange(1, 30).Draw(t, "ticks") {
+					o.now = o.now.Add(200 * time.Millisecond)
+					o.p.Update(o.now, picker.Tick{})
+					o.check(t)
+				}
+			},
+			"": o.check,
+		})
+	})
+}
+
+func (o *oracle) pick(t *rapid.T, name *rapid.Generator[backend.ID]) {
+	exclude := rapid.SliceOfN(name, 0, 2).Draw(t, "exclude")
+	chosen, err := o.p.Pick(o.now, "rounds", exclude)
+	_, ids := o.fits()
+	if err != nil {
+		if !errors.Is(err, picker.ErrNoBackend) {
+			t.Fatalf("unexpected error %v", err)
+		}
+		if len(exclude) == 0 && len(ids) > 0 {
+			t.Fatalf("no pick of %v: %v", ids, err)
+		}
+		return
+	}
+	if !slices.Contains(ids, chosen) || slices.Contains(exclude, chosen) {
+		t.Fatalf("picked %s, may pick %v but %v", chosen, ids, exclude)
+	}
+	o.next++
+	f := picker.Picked{Attempt: id.New("vm", 1, o.next), Backend: chosen, Class: class.Transfer}
+	o.flights = append(o.flights, f)
+	o.p.Update(o.now, f)
+}
+
+func (o *oracle) end(t *rapid.T) {
+	if len(o.flights) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(o.flights)-1).Draw(t, "flight")
+	f := o.flights[i]
+	o.flights = slices.Delete(o.flights, i, i+1)
+	e := picker.Observed{Attempt: f.Attempt, Backend: f.Backend, Class: f.Class, Took: 50 * time.Millisecond,
+		Verdict: verdict.Verdict(rapid.IntRange(0, 6).Draw(t, "verdict"))}
+	if rapid.Bool().Draw(t, "reported") {
+		r := drawReport(t)
+		e.Report = &r
+	}
+	o.p.Update(o.now, e)
+}
+
+func drawReport(t *rapid.T) report.Report {
+	r := report.Report{
+		Limit:     rapid.IntRange(0, 4).Draw(t, "limit"),
+		Errors:    rapid.SampledFrom([]float64{0, 0, 0, 30}).Draw(t, "errors"),
+		Slowness:  rapid.SampledFrom([]float64{0, 0, 0, 30}).Draw(t, "slowness"),
+		Stalled:   rapid.SampledFrom([]time.Duration{0, 0, 0, time.Minute}).Draw(t, "stalled"),
+		Completed: uint16(rapid.IntRange(0, 30).Draw(t, "completed")),
+	}
+	took := rapid.SampledFrom([]time.Duration{50, 50, 50, 600}).Draw(t, "level") * time.Millisecond
+	return r.WithLevel(class.Transfer, report.Level{Time: took, Spread: 0.5, Samples: 40})
+}
--- a/choice/picker/table.go
+++ b/choice/picker/table.go
@@ -70,6 +70,8 @@
 	servers    []*server
 	misses     int
 	lastAnswer time.Time
+	// askedAt is when the guard was last asked for a report.
+	askedAt time.Time
 }
 
 // group is a row of the table of services.
--- a/choice/picker/tick.go
+++ b/choice/picker/tick.go
@@ -10,6 +10,9 @@
 const (
 	// confirmTime is how long a suspicion must hold before it ejects.
 	confirmTime = 300 * time.Millisecond
+	// spreadTime is that time while most peers have not reported since the
+	// suspicion began: notices about them may be on their way.
+	spreadTime = time.Second
 	// trialCompleted is the number of requests, over the fleet, that a trial takes.
 	trialCompleted = 8
 	// trialGood is the number of own good answers that passes a trial.
@@ -71,12 +74,27 @@
 		s.badSince = now
 	}
 	s.suspect = found
-	if now.Sub(s.badSince) < confirmTime {
+	needed := confirmTime
+	if found == Slow && !s.group.reportedSince(s.badSince) {
+		needed = spreadTime
+	}
+	if now.Sub(s.badSince) < needed {
 		return nil
 	}
 	return s.eject(now, found, c)
 }
 
+// reportedSince tells whether most servers that take work have reported since then.
+func (g *group) reportedSince(then time.Time) bool {
+	reported := 0
+	for _, s := range g.kept {
+		if s.reportAt.After(then) {
+			reported++
+		}
+	}
+	return 2*reported > len(g.kept)
+}
+
 // judgeEjected restores s at once if the peers became slow as well, and starts its trial in time.
 func (s *server) judgeEjected(now time.Time, found Reason, c comparison) []decision.Action {
 	if s.reason == Slow && found == None && c.usual() && c.known && c.peers > s.peersAtEjection+peersMoved {
@@ -137,10 +155,7 @@
 func (p *Picker) judgePath(now time.Time, w *path) []decision.Action {
 	switch w.probation.State {
 	case probation.Clear:
-		if n, since := w.silent(now); n >= silentRequests {
-			w.badSince = since
-			return p.ejectPath(now, w)
-		}
+		return p.judgeSilence(now, w)
 	case probation.Ejected:
 		w.probation = w.probation.Advance(now)
 		if w.probation.State == probation.OnTrial {
@@ -157,6 +172,24 @@
 	return nil
 }
 
+// judgeSilence asks the guard of a silent path for a report, and ejects the path
+// if several requests are overdue and the question stays unanswered.
+func (p *Picker) judgeSilence(now time.Time, w *path) []decision.Action {
+	n, since := w.silent(now)
+	if n == 0 {
+		return nil
+	}
+	if w.askedAt.Before(since) {
+		w.askedAt = now
+		return []decision.Action{Ask{Backend: w.servers[0].backend.ID}}
+	}
+	if n >= silentRequests && now.Sub(w.askedAt) >= AskTimeout {
+		w.badSince = since
+		return p.ejectPath(now, w)
+	}
+	return nil
+}
+
 // ejectPath takes every backend server behind a path out of use for this ingress.
 func (p *Picker) ejectPath(now time.Time, w *path) []decision.Action {
 	w.probation = w.probation.Eject(now)
--- a/choice/scenario/detection_test.go
+++ b/choice/scenario/detection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -13,6 +14,8 @@
 
 var virtualTime = flag.Duration("virtual-time", time.Minute, "virtual time of the long measurements")
 
+var seeds = flag.Uint64("seeds", 1, "number of seeds of a measurement")
+
 // kretowisko and blueMahoe are the two deployments of today.
 func kretowisko(seed uint64) settings {
 	return settings{seed: seed, ingresses: 35, services: map[string]int{"rounds": 25, "fieldwork": 10}, slots: 4,
@@ -74,31 +77,134 @@
 	{"half-deaf-50%", func(w *world, v backend.ID) { w.servers[v].fault.deaf = 0.5 }},
 }
 
+// deployments are those of today.
+var deployments = []struct {
+	name string
+	of   func(uint64) settings
+}{{"kretowisko", kretowisko}, {"blue-mahoe", blueMahoe}}
+
+// target is the bound on the time until half of the ingresses have ejected a faulty backend server.
+const target = 3 * time.Second
+
 // TestDetection measures the time until an ingress ejects a faulty backend server.
 func TestDetection(t *testing.T) {
-	for _, s := range []struct {
-		name string
-		of   func(uint64) settings
-	}{{"kretowisko", kretowisko}, {"blue-mahoe", blueMahoe}} {
+	for _, s := range deployments {
 		for _, f := range faults {
 			t.Run(s.name+"/"+f.name, func(t *testing.T) {
-				for seed := range uint64(3) {
+				var firsts, halves, lasts []time.Duration
+				missed, wrong := 0, 0
+				for seed := range *seeds {
 					d := detect(s.of(seed), f.break_)
-					t.Logf("seed %d: first %v half %v last %v, missed by %d, wrong %d", seed, d.first, d.half, d.last, d.missed, d.wrong)
+					firsts, halves, lasts = append(firsts, d.first), append(halves, d.half), append(lasts, d.last)
+					missed, wrong = missed+d.missed, wrong+d.wrong
+				}
+				t.Logf("%d seeds: first %v, half %v (worst %v), last %v (worst %v); missed by %d, wrong %d", *seeds,
+					middle(firsts), middle(halves), slices.Max(halves), middle(lasts), slices.Max(lasts), missed, wrong)
+				if middle(halves) >= target {
+					t.Errorf("half of the ingresses took %v", middle(halves))
 				}
 			})
 		}
 	}
 }
 
+// TestPathDetection cuts one direction between one ingress and one guard.
+func TestPathDetection(t *testing.T) {
+	for _, ingresses := range []int{1, 35} {
+		t.Run(fmt.Sprint(ingresses), func(t *testing.T) {
+			var times []time.Duration
+			missed, others := 0, 0
+			for seed := range *seeds {
+				s := kretowisko(seed)
+				s.ingresses = ingresses
+				w := newWorld(s)
+				victim := w.names[len(w.names)-1]
+				w.load()
+				w.run(20 * time.Second)
+				cut, found := w.now, time.Duration(0)
+				w.actions = func(i int, a decision.Action) {
+					if e, ok := a.(picker.Ejected); ok {
+						if i == 0 && e.Backend == victim && found == 0 {
+							found = w.now.Sub(cut)
+						} else if i != 0 || e.Backend != victim {
+							others++
+						}
+					}
+				}
+				w.cut[0] = victim
+				w.run(15 * time.Second)
+				if found == 0 {
+					missed++
+				} else {
+					times = append(times, found)
+				}
+			}
+			t.Logf("%d seeds: middle %v, worst %v; missed %d, ejected elsewhere %d", *seeds, middle(times), slices.Max(append(times, 0)), missed, others)
+			if ingresses == 1 && (missed > 0 || middle(times) >= target) {
+				t.Errorf("found after %v, missed %d", middle(times), missed)
+			}
+		})
+	}
+}
+
+// TestFlapping measures the share of time that a flapping backend server is in use.
+func TestFlapping(t *testing.T) {
+	w := newWorld(kretowisko(1))
+	victim := w.names[len(w.names)-1]
+	w.load()
+	w.run(20 * time.Second)
+	slow := 0
+	w.every(5*time.Second, 0, func() {
+		slow = 5 - slow
+		w.servers[victim].fault.slow = float64(slow)
+	})
+	strikes, ejections, wrong := 0, 0, 0
+	w.actions = func(i int, a decision.Action) {
+		if e, ok := a.(picker.Ejected); ok && e.Backend == victim {
+			strikes = max(strikes, e.Strikes)
+			ejections++
+		} else if ok {
+			wrong++
+		}
+	}
+	for range 4 {
+		before := ejections
+		w.run(30 * time.Second)
+		t.Logf("%v: %.1f ejections an ingress in 30 s, strikes %d, wrong %d", w.now.Sub(start), float64(ejections-before)/35, strikes, wrong)
+	}
+}
+
+// TestAllSlow makes every backend server slow at once: none is an outlier.
+func TestAllSlow(t *testing.T) {
+	for _, s := range deployments {
+		t.Run(s.name, func(t *testing.T) {
+			w := newWorld(s.of(1))
+			w.rate = 6
+			w.load()
+			w.run(30 * time.Second)
+			n := 0
+			w.actions = func(_ int, a decision.Action) {
+				if _, ok := a.(picker.Ejected); ok {
+					n++
+				}
+			}
+			for _, m := range w.servers {
+				m.fault.slow = 5
+			}
+			w.run(30 * time.Second)
+			t.Logf("%d ejections in 30 s over %d ingresses", n, w.ingresses)
+		})
+	}
+}
+
 // TestFalseEjections counts ejections while nothing is wrong.
 func TestFalseEjections(t *testing.T) {
-	for _, s := range []struct {
-		name string
-		of   func(uint64) settings
-	}{{"kretowisko", kretowisko}, {"blue-mahoe", blueMahoe}} {
+	for _, s := range deployments {
 		t.Run(s.name, func(t *testing.T) {
 			w := newWorld(s.of(1))
+			for _, m := range w.servers {
+				m.fault.errors = 0.005
+			}
 			w.load()
 			n := 0
 			w.actions = func(i int, a decision.Action) {
@@ -110,7 +216,19 @@
 				}
 			}
 			w.run(*virtualTime)
-			t.Logf("%v: %d false ejections", *virtualTime, n)
+			t.Logf("%v: %d false ejections, %d of %d requests overdue", *virtualTime, n, w.asked, w.next)
+			if n > 0 {
+				t.Errorf("%d false ejections", n)
+			}
 		})
 	}
 }
+
+// middle returns the median; zero if there are none.
+func middle(times []time.Duration) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
--- a/choice/scenario/world_test.go
+++ b/choice/scenario/world_test.go
@@ -76,11 +76,11 @@
 	names   []backend.ID
 	calls   map[id.ID]*call
 	next    uint64
+	asked   int
 	// cut holds ingresses whose answers from a member are lost.
 	cut      map[int]backend.ID
 	actions  func(ingress int, a decision.Action)
 	answered func(c *call, v verdict.Verdict)
-	stop     time.Time
 }
 
 // call is a request on its way.
@@ -93,7 +93,6 @@
 	sent, begun  time.Time
 	expires      time.Time
 	tried        []backend.ID
-	done         bool
 }
 
 const hop = 500 * time.Microsecond
@@ -120,6 +119,9 @@
 	for i := range w.pickers {
 		w.every(200*time.Millisecond, w.jitter(200*time.Millisecond), func() {
 			for _, a := range w.pickers[i].Update(w.now, picker.Tick{}) {
+				if ask, ok := a.(picker.Ask); ok {
+					w.ask(i, ask.Backend)
+				}
 				w.actions(i, a)
 			}
 		})
@@ -267,6 +269,22 @@
 	}
 }
 
+// ask brings the report of a guard to an ingress, or the lack of one.
+func (w *world) ask(ingress int, of backend.ID) {
+	w.asked++
+	o := picker.Observed{Backend: of, Verdict: verdict.PathFailure}
+	delay := picker.AskTimeout
+	if at, ok := w.cut[ingress]; !ok || at != of {
+		r, _ := w.servers[of].gate.Report(w.now, of)
+		o.Verdict, o.Report, delay = verdict.Shed, &r, 2*hop
+	}
+	w.after(delay, func() {
+		for _, a := range w.pickers[ingress].Update(w.now, o) {
+			w.actions(ingress, a)
+		}
+	})
+}
+
 // spread brings a notice to every ingress.
 func (w *world) spread(n gate.Notice) {
 	if w.gossip == 0 {
--- a/choice/window/window.go
+++ b/choice/window/window.go
@@ -29,6 +29,12 @@
 // New returns an empty window in which a value's weight falls by a factor of e in each span.
 func New(span time.Duration) Window { return Window{span: span} }
 
+// WithSpan returns a copy that ages with another span from now on.
+func (w Window) WithSpan(span time.Duration) Window {
+	w.span = span
+	return w
+}
+
 // Add takes the value x at the time now.
 func (w *Window) Add(now time.Time, x float64) {
 	w.decay(now)
