Add the operators' command line

check, keygen, version and note new|check|sign|publish|show|history|status, each a file of package command; cmd/berylpass only wires the world in. Exit codes are 0, 1, 2 for a wrong command line and 3 for a conflict. note commands take a daemon's settings or an operator's file with platform and owners only. Two golden sessions hold the output: a note from draft to in force, with a race and the store away, and the help.

--- a/cmd/berylpass/main.go
+++ b/cmd/berylpass/main.go
@@ -1,4 +1,31 @@
 // Command berylpass is the daemon and the operators' tool of a proxy fleet.
 package main
 
-func main() {}
+import (
+	"context"
+	"crypto/rand"
+	"os"
+
+	"berylpass/config/archive"
+	"berylpass/config/settings"
+	"berylpass/operate/command"
+	"berylpass/operate/status"
+	"berylpass/operate/version"
+	"berylpass/platform/client"
+)
+
+func main() {
+	c := command.New(command.Environment{
+		Stdout:  os.Stdout,
+		Stderr:  os.Stderr,
+		Random:  rand.Reader,
+		Store:   openStore,
+		Status:  status.Fetch,
+		Version: version.Current(),
+	})
+	os.Exit(c.Run(context.Background(), os.Args[1:]))
+}
+
+func openStore(p settings.Platform) archive.Store {
+	return client.New(p.URL, client.WithTimeout(p.Timeout))
+}
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -77,7 +77,7 @@
 // Log is what the daemon logs.
 type Log struct{ Level string }
 
-// Load reads and checks a file.
+// Load reads and checks a daemon's file.
 func Load(file string) (Settings, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -86,8 +86,23 @@
 	return Parse(file, text)
 }
 
-// Parse reads and checks the text of a file. Its error is a mistake.List.
+// LoadOperator reads and checks a file for the operators' commands: a daemon's,
+// or one with the sections platform and owners only.
+func LoadOperator(file string) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, err
+	}
+	return parse(file, text, func(section string) bool { return section == platformSection })
+}
+
+// Parse reads and checks the text of a daemon's file. Its error is a mistake.List.
 func Parse(file string, text []byte) (Settings, error) {
+	return parse(file, text, func(string) bool { return true })
+}
+
+// parse reads a file in which the sections that needed names must be complete.
+func parse(file string, text []byte, needed func(section string) bool) (Settings, error) {
 	d, found := document.Parse(file, text)
 	if len(d.Sections) == 0 && len(found) > 0 {
 		return Settings{}, found.Err()
@@ -105,7 +120,7 @@
 		if !ok {
 			section = document.Section{Name: g.name}
 		}
-		found = append(found, g.read(&s, file, section)...)
+		found = append(found, g.read(&s, file, section, ok || needed(g.name))...)
 	}
 	found = append(found, readOwners(&s, file, given[ownersSection])...)
 	found = append(found, checkWhole(s, file)...)
--- a/config/settings/table.go
+++ b/config/settings/table.go
@@ -18,13 +18,19 @@
 	table field.Table[Settings]
 }
 
-func (g group) read(s *Settings, file string, section document.Section) mistake.List {
+func (g group) read(s *Settings, file string, section document.Section, complete bool) mistake.List {
 	g.table.Defaults(s)
 	found := g.table.Read(s, file, section)
+	if !complete {
+		return found
+	}
 	return append(found, g.table.Missing(file, section)...)
 }
 
-const ownersSection = "owners"
+const (
+	ownersSection   = "owners"
+	platformSection = "platform"
+)
 
 var groups = []group{
 	{"daemon", field.Table[Settings]{
@@ -57,7 +63,7 @@
 			func(s *Settings) *[]string { return &s.Mesh.Seeds }).
 			WithMeaning("Control addresses of daemons to join by while the store is away."),
 	}},
-	{"platform", field.Table[Settings]{
+	{platformSection, field.Table[Settings]{
 		field.Of("url", "a URL that starts with http:// or https:// and names a host", func(s *Settings) *string { return &s.Platform.URL }, parseURL).WithRequired().
 			WithMeaning("The platform's object API."),
 		field.Duration("timeout", 100*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.Platform.Timeout }).
--- /dev/null
+++ b/operate/command/command_test.go
@@ -0,0 +1,159 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"berylpass/config/archive"
+	"berylpass/config/settings"
+	"berylpass/operate/status"
+	"berylpass/operate/version"
+	"berylpass/platform/memory"
+)
+
+var update = flag.Bool("update", false, "write the output into the sessions")
+
+// stream is a reader that yields the same bytes in every run.
+type stream struct{ n byte }
+
+func (s *stream) Read(p []byte) (int, error) {
+	s.n++
+	block := sha256.Sum256([]byte{s.n})
+	return copy(p, block[:]), nil
+}
+
+// session runs the lines of a session file that start with $ and returns the
+// file with the output that they gave.
+type session struct {
+	t      *testing.T
+	store  *memory.Memory
+	random stream
+	public []string
+}
+
+func statuses(_ context.Context, url string) (status.Status, error) {
+	if url != "http://vm-1:7004" {
+		return status.Status{}, fmt.Errorf("%w: no answer", status.ErrUnreadable)
+	}
+	return status.Status{Daemon: "vm-1", Revision: 3, Members: []status.Member{
+		{ID: "vm-1", Revision: 2, State: "serving"},
+		{ID: "vm-2", Revision: 3, State: "serving"},
+		{ID: "vm-3", Revision: 2, State: "suspect"},
+		{ID: "vm-4", Revision: 1, State: "dead"},
+	}}, nil
+}
+
+func (s *session) berylpass(args []string) string {
+	var out bytes.Buffer
+	c := New(Environment{
+		Stdout: &out, Stderr: &out, Random: &s.random, Status: statuses,
+		Store:   func(settings.Platform) archive.Store { return s.store },
+		Version: version.Version{Version: "v0.1.0", Commit: "0123456789ab", Go: "go1.26"},
+	})
+	code := c.Run(s.t.Context(), args)
+	if code != ExitDone {
+		fmt.Fprintf(&out, "[exit %d]\n", code)
+	}
+	for line := range strings.Lines(out.String()) {
+		if key, ok := strings.CutPrefix(line, "public key = "); ok {
+			s.public = append(s.public, strings.TrimSpace(key))
+		}
+	}
+	return out.String()
+}
+
+func (s *session) run(line string) string {
+	args := split(line)
+	switch args[0] {
+	case "berylpass":
+		return s.berylpass(args[1:])
+	case "settings":
+		text := fmt.Sprintf("[platform]\nurl = http://10.0.9.1:9000\n[owners]\nola = %s\nmarek = %s\n", s.public[0], s.public[1])
+		s.write("operator.ini", []byte(text))
+	case "rebase":
+		text, err := os.ReadFile(args[2])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.write(args[1], text)
+	case "away":
+		s.store.SetFaults(memory.Faults{Away: true})
+	default:
+		s.t.Fatalf("unknown line %q", line)
+	}
+	return ""
+}
+
+func (s *session) write(file string, text []byte) {
+	if err := os.WriteFile(file, text, 0o644); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// split splits a line at spaces outside double quotes.
+func split(line string) []string {
+	var args []string
+	for i, part := range strings.Split(line, `"`) {
+		if i%2 == 1 {
+			args = append(args, part)
+		} else {
+			args = append(args, strings.Fields(part)...)
+		}
+	}
+	return args
+}
+
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.session")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no sessions: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) { runSession(t, file) })
+	}
+}
+
+func runSession(t *testing.T, file string) {
+	path, err := filepath.Abs(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	notes, err := filepath.Abs("testdata/files")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Chdir(t.TempDir())
+	if err := os.CopyFS(".", os.DirFS(notes)); err != nil {
+		t.Fatal(err)
+	}
+	s := &session{t: t, store: memory.New()}
+	var got strings.Builder
+	for line := range strings.Lines(string(want)) {
+		command, isCommand := strings.CutPrefix(line, "$ ")
+		if isCommand || strings.HasPrefix(line, "##") {
+			io.WriteString(&got, line)
+		}
+		if isCommand {
+			got.WriteString(s.run(strings.TrimSpace(command)))
+		}
+	}
+	if *update {
+		s.write(path, []byte(got.String()))
+		return
+	}
+	if got.String() != string(want) {
+		t.Errorf("%s differs (-update writes it); got:\n%s", file, got.String())
+	}
+}
--- /dev/null
+++ b/operate/command/version.go
@@ -0,0 +1,25 @@
+package command
+
+import (
+	"io"
+
+	"berylpass/operate/version"
+)
+
+// printVersion prints the version.
+type printVersion struct {
+	root *Command
+	output
+}
+
+type versionResult version.Version
+
+func (r versionResult) writeText(w io.Writer) { printf(w, "%s\n", version.Version(r)) }
+
+// Execute runs the command.
+func (c *printVersion) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	return c.print(c.root.environment.Stdout, versionResult(c.root.environment.Version))
+}
