Add the spread of configuration: core and adapter

Cause: a revision must be in force everywhere within seconds, also where few see the store, and never go back, from whichever source. Change: config/spread decides (pull from the daemon that showed a revision, hedge, fall back to the store, compare with store and peers at start); config/revision carries out (manifest and missing chunks by net/rpc, watch by the daemons that membership names, Ready with ErrNoConfiguration and ErrIsolated). Mutations: accepting lower revisions, serving without waiting for claims, and serving without hearing three peers each fail a test (the third only since the test looks at the first revision served; before it did not). Found on the way: a source that could not be reached three times was dropped and a start served below what it was shown; now only an answer refutes a claim.

--- /dev/null
+++ b/config/revision/pull.go
@@ -0,0 +1,114 @@
+package revision
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"maps"
+
+	"berylpass/config/spread"
+	"berylpass/fleet/member"
+	"berylpass/platform/object"
+)
+
+// errNoManifest reports a daemon that shows no configuration that can be verified.
+var errNoManifest = errors.New("daemon shows no valid configuration")
+
+// pull fetches a revision and reports the outcome to the core.
+func (f *Follower) pull(a spread.Pull) {
+	ctx, cancel := context.WithTimeout(f.ctx, pullTimeout)
+	defer cancel()
+	next, err := f.open(ctx, a.From)
+	if err != nil {
+		f.update(spread.FetchFailed{
+			Pull: a.Pull, Empty: errors.Is(err, object.ErrNotFound), Refuted: errors.Is(err, errNoManifest),
+		})
+		return
+	}
+	f.mu.Lock()
+	f.pulled[a.Pull] = next
+	f.mu.Unlock()
+	f.update(spread.Fetched{Pull: a.Pull, Revision: next.snapshot.Revision})
+}
+
+// open fetches and verifies the configuration of a daemon, or of the store.
+func (f *Follower) open(ctx context.Context, from member.ID) (*opened, error) {
+	manifest, err := f.fetchManifest(ctx, from)
+	if err != nil {
+		return nil, err
+	}
+	held := f.current.Load()
+	if string(manifest) == string(held.manifest) {
+		return held, nil
+	}
+	next := &opened{manifest: manifest, chunks: map[[32]byte][]byte{}}
+	complete := true
+	next.snapshot, err = f.verifier.Open(ctx, manifest, func(ctx context.Context, digest [32]byte) ([]byte, error) {
+		chunk, err := f.fetchChunk(ctx, from, held, digest)
+		if err != nil {
+			complete = false
+			return nil, err
+		}
+		next.chunks[digest] = chunk
+		return chunk, nil
+	})
+	switch {
+	case err == nil:
+		return next, nil
+	case complete:
+		return nil, fmt.Errorf("%w: %w", errNoManifest, err)
+	default:
+		// A missing chunk must not read like an empty store.
+		return nil, fmt.Errorf("fetch a chunk: %s", err.Error())
+	}
+}
+
+func (f *Follower) fetchManifest(ctx context.Context, from member.ID) ([]byte, error) {
+	if from == "" {
+		o, err := f.store.Get(ctx, CurrentKey)
+		return o.Value, err
+	}
+	var reply Document
+	if err := f.caller.Call(ctx, from, manifestMethod, true, &reply); err != nil {
+		return nil, err
+	}
+	if reply.Revision == 0 {
+		return nil, errNoManifest
+	}
+	return reply.Manifest, nil
+}
+
+// fetchChunk takes a chunk from what is held, else from the daemon that showed the
+// revision, else from the store.
+func (f *Follower) fetchChunk(ctx context.Context, from member.ID, held *opened, digest [32]byte) ([]byte, error) {
+	if chunk, ok := held.chunks[digest]; ok {
+		return chunk, nil
+	}
+	if from != "" {
+		var reply Chunk
+		err := f.caller.Call(ctx, from, chunkMethod, digest, &reply)
+		if err == nil && reply.Found {
+			return reply.Value, nil
+		}
+	}
+	o, err := f.store.Get(ctx, ChunkPrefix+hex.EncodeToString(digest[:]))
+	return o.Value, err
+}
+
+// chunk returns a chunk of the present revision or the one before.
+func (f *Follower) chunk(digest [32]byte) ([]byte, bool) {
+	if chunk, ok := f.current.Load().chunks[digest]; ok {
+		return chunk, true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.last == nil {
+		return nil, false
+	}
+	chunk, ok := f.last.chunks[digest]
+	return chunk, ok
+}
+
+// Chunks returns the chunks of the configuration in force, by digest.
+func (f *Follower) Chunks() map[[32]byte][]byte { return maps.Clone(f.current.Load().chunks) }
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -6,8 +6,7 @@
 //	book := directory.New()
 //	m, _ := mesh.New(address, key, book)
 //	fleet := membership.New(self, m, book, store,
-//		membership.WithSeeds("10.0.0.1:7001"),
-//		membership.WithOnRevision(configuration.Heard))
+//		membership.WithSeeds("10.0.0.1:7001"))
 //	m.Register(membership.ServiceName, fleet.Receiver())
 //	m.Serve()
 //	fleet.Announce(b)
@@ -60,13 +59,15 @@
 	directory *directory.Directory
 	options   options
 
-	mu     sync.Mutex
-	roster *roster.Roster
-	view   atomic.Pointer[view]
+	mu         sync.Mutex
+	roster     *roster.Roster
+	view       atomic.Pointer[view]
+	onRevision func(revision uint64, from member.ID)
 	// outbox holds the callbacks that are still to run.
 	outbox  []func()
 	records recordWork
 	watch   bool
+	joined  bool
 	closed  bool
 
 	notified chan struct{}
@@ -132,6 +133,38 @@
 	m.wait.Wait()
 }
 
+// OnRevision sets the function that is called with the configuration revision that
+// each message carries.
+func (m *Membership) OnRevision(heard func(revision uint64, from member.ID)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onRevision = heard
+}
+
+// Self returns the ID of this daemon.
+func (m *Membership) Self() member.ID { return m.roster.Self() }
+
+// Neighbours returns the daemons that this one probes.
+func (m *Membership) Neighbours() []member.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Neighbours()
+}
+
+// Joined reports whether the store's list of daemons has been read.
+func (m *Membership) Joined() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.joined
+}
+
+// WatchesStore reports whether this daemon is one of those that watch the store.
+func (m *Membership) WatchesStore() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.watch
+}
+
 // Isolated reports whether this daemon may miss news that the fleet has; see package roster.
 func (m *Membership) Isolated(now time.Time) bool {
 	m.mu.Lock()
@@ -175,7 +208,8 @@
 			m.notify(func() { m.options.onBackend(a.Backend) }, m.options.onBackend != nil)
 		case roster.RevisionHeard:
 			m.dropOlderView(a)
-			m.notify(func() { m.options.onRevision(a.Revision, a.From) }, m.options.onRevision != nil)
+			heard := m.onRevision
+			m.notify(func() { heard(a.Revision, a.From) }, heard != nil)
 		case roster.ClockHeard:
 			m.notify(func() { m.options.onClock(a) }, m.options.onClock != nil)
 		case roster.Superseded:
--- a/fleet/membership/membership_test.go
+++ b/fleet/membership/membership_test.go
@@ -40,8 +40,8 @@
 	self := member.New(id, "srem").WithAddresses(link.Address(), link.Address()).WithIncarnation(uint64(time.Now().UnixNano()))
 	d.Membership = New(self, link, book, store, WithSeeds(seeds...), WithRandomSeed(1),
 		WithOnMember(func(m member.Member) { d.news <- m }),
-		WithOnBackend(func(b backend.Backend) { d.news <- b }),
-		WithOnRevision(func(revision uint64, from member.ID) { d.news <- fmt.Sprint(from, " has ", revision) }))
+		WithOnBackend(func(b backend.Backend) { d.news <- b }))
+	d.OnRevision(func(revision uint64, from member.ID) { d.news <- fmt.Sprint(from, " has ", revision) })
 	if err := link.Register(ServiceName, d.Receiver()); err != nil {
 		t.Fatal(err)
 	}
--- a/fleet/membership/option.go
+++ b/fleet/membership/option.go
@@ -14,7 +14,6 @@
 	clock        func() time.Time
 	onMember     func(member.Member)
 	onBackend    func(backend.Backend)
-	onRevision   func(revision uint64, from member.ID)
 	onClock      func(roster.ClockHeard)
 	onSuperseded func(incarnation uint64)
 }
@@ -37,11 +36,6 @@
 // WithOnBackend is called with each new state of a backend server.
 func WithOnBackend(f func(backend.Backend)) Option { return func(o *options) { o.onBackend = f } }
 
-// WithOnRevision is called with the configuration revision that each message carries.
-func WithOnRevision(f func(revision uint64, from member.ID)) Option {
-	return func(o *options) { o.onRevision = f }
-}
-
 // WithOnClock is called with the sender's clock reading that each message carries.
 func WithOnClock(f func(roster.ClockHeard)) Option { return func(o *options) { o.onClock = f } }
 
--- a/fleet/membership/work.go
+++ b/fleet/membership/work.go
@@ -233,6 +233,9 @@
 	}
 	m.update(roster.StoreSeen{Since: since})
 	m.update(roster.StoreRecords{Records: decodeRecords(objects)})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.joined = true
 	return true
 }
 
