--- a/choice/picker/judge.go
+++ b/choice/picker/judge.go
@@ -23,7 +23,10 @@
 	// slowSigmas is the number of standard errors that an outlier exceeds.
 	slowSigmas = 5.5
 	// slowEvidence is the evidence of slowness, in nats, that is significant.
-	slowEvidence = 10
+	slowEvidence = 14
+	// risingEvidence is the evidence of slowness or errors, in nats, from which
+	// the time of confirmation runs.
+	risingEvidence = 5
 	// failingEvidence is the evidence of errors, in nats, that makes an outlier.
 	failingEvidence = 12
 	// failingPeers is the evidence of errors at the median peer from which errors are common to all.
@@ -134,6 +137,20 @@
 	}
 }
 
+// rising returns what may come to speak against s at the time now.
+func (s *server) rising(now time.Time, b baseline) Reason {
+	if !s.fresh(now) {
+		return None
+	}
+	switch {
+	case s.report.Errors-median(without(b.errors, s.report.Errors)) >= risingEvidence:
+		return Failing
+	case s.report.Slowness-median(without(b.slowness, s.report.Slowness)) >= risingEvidence:
+		return Slow
+	}
+	return None
+}
+
 // suspicion returns what speaks against s at the time now.
 func (s *server) suspicion(now time.Time, b baseline, c comparison) Reason {
 	if n, _ := s.silent(now); n >= silentRequests && s.path.probation.State == probation.Clear {
--- a/choice/picker/tick.go
+++ b/choice/picker/tick.go
@@ -54,7 +54,7 @@
 		found := s.suspicion(now, b, c)
 		switch s.probation.State {
 		case probation.Clear:
-			actions = append(actions, s.judgeClear(now, found, c)...)
+			actions = append(actions, s.judgeClear(now, b, found, c)...)
 		case probation.Ejected:
 			actions = append(actions, s.judgeEjected(now, found, c)...)
 		case probation.OnTrial:
@@ -64,16 +64,19 @@
 	return actions
 }
 
-// judgeClear ejects s once a suspicion has held for the time of confirmation.
-func (s *server) judgeClear(now time.Time, found Reason, c comparison) []decision.Action {
-	if found == None {
-		s.suspect = None
-		return nil
+// judgeClear ejects s once a suspicion holds and the time of confirmation is over.
+func (s *server) judgeClear(now time.Time, b baseline, found Reason, c comparison) []decision.Action {
+	suspect := found
+	if suspect == None {
+		suspect = s.rising(now, b)
 	}
 	if s.suspect == None {
 		s.badSince = now
 	}
-	s.suspect = found
+	s.suspect = suspect
+	if found == None {
+		return nil
+	}
 	needed := confirmTime
 	if found == Slow && !s.group.reportedSince(s.badSince) {
 		needed = spreadTime
--- a/choice/scenario/model_test.go
+++ b/choice/scenario/model_test.go
@@ -28,6 +28,7 @@
 	gate    *gate.Gate
 	fault   fault
 	running map[id.ID]*call
+	line    []*call
 	held    []id.ID
 	// warmSince is when a cold backend server began to warm up; warming is the time that takes, zero if always warm.
 	warmSince time.Time
@@ -45,10 +46,26 @@
 
 // arrive is a request at the guard.
 func (m *model) arrive(r *call) {
+	if m.w.fifo {
+		m.line = append(m.line, r)
+		m.drain()
+		return
+	}
 	m.handle(m.gate.Update(m.w.now, gate.Arrive{ID: r.id, Backend: m.backend.ID,
 		Organisation: r.organisation, Class: r.class, Expires: r.expires}))
 }
 
+// drain runs what waits in the plain queue.
+func (m *model) drain() {
+	for len(m.line) > 0 && len(m.running) < m.backend.Slots {
+		r := m.line[0]
+		m.line = m.line[1:]
+		if m.w.calls[r.id] != nil {
+			m.begin(r)
+		}
+	}
+}
+
 // cancel takes a request back, or stops it.
 func (m *model) cancel(attempt id.ID) {
 	m.handle(m.gate.Update(m.w.now, gate.Withdraw{ID: attempt}))
@@ -136,15 +153,6 @@
 	}
 }
 
-// repair ends all faults and lets go of what was held.
-func (m *model) repair() {
-	m.fault = fault{}
-	for _, attempt := range m.held {
-		m.finish(attempt, verdict.OK)
-	}
-	m.held = nil
-}
-
 // finish ends a request that runs.
 func (m *model) finish(attempt id.ID, v verdict.Verdict) {
 	r := m.running[attempt]
@@ -155,7 +163,11 @@
 	if v == verdict.OK {
 		m.done++
 	}
-	m.handle(m.gate.Update(m.w.now, gate.Finished{ID: attempt, Verdict: v}))
+	if m.w.fifo {
+		m.drain()
+	} else {
+		m.handle(m.gate.Update(m.w.now, gate.Finished{ID: attempt, Verdict: v}))
+	}
 	if v != verdict.Cancelled && r.id == attempt {
 		m.w.answer(r, m.backend.ID, v)
 	}
--- a/choice/scenario/world_test.go
+++ b/choice/scenario/world_test.go
@@ -62,6 +62,8 @@
 	gossip   time.Duration
 	deadline time.Duration
 	orgs     []string
+	// fifo replaces the gates by plain queues in the order of arrival, without reports.
+	fifo bool
 }
 
 // world joins pickers, gates and the model of backend servers.
@@ -117,7 +119,7 @@
 		}
 	}
 	for i := range w.pickers {
-		w.every(200*time.Millisecond, w.jitter(200*time.Millisecond), func() {
+		w.every(100*time.Millisecond, w.jitter(100*time.Millisecond), func() {
 			for _, a := range w.pickers[i].Update(w.now, picker.Tick{}) {
 				if ask, ok := a.(picker.Ask); ok {
 					w.ask(i, ask.Backend)
@@ -142,7 +144,7 @@
 		p.Update(w.now, picker.ServiceSeen{Service: sv})
 		p.Update(w.now, picker.BackendSeen{Backend: b, Datacentre: "dc", SameDatacentre: true, InService: true})
 	}
-	w.every(100*time.Millisecond, w.jitter(100*time.Millisecond), func() { m.handle(m.gate.Update(w.now, gate.Tick{})) })
+	w.every(50*time.Millisecond, w.jitter(50*time.Millisecond), func() { m.handle(m.gate.Update(w.now, gate.Tick{})) })
 }
 
 // at schedules a step after a delay.
@@ -258,7 +260,7 @@
 
 func (w *world) observe(r *call, attempt id.ID, from backend.ID, v verdict.Verdict, reported bool) {
 	o := picker.Observed{Attempt: attempt, Backend: from, Class: r.class, Took: w.now.Sub(r.sent), Verdict: v}
-	if reported {
+	if reported && !w.fifo {
 		rep, _ := w.servers[from].gate.Report(w.now, from)
 		packed, _ := rep.MarshalBinary()
 		_ = rep.UnmarshalBinary(packed)
