--- a/cmd/berylpass/main.go
+++ b/cmd/berylpass/main.go
@@ -8,6 +8,7 @@
 
 	"berylpass/config/archive"
 	"berylpass/config/settings"
+	"berylpass/operate/burn"
 	"berylpass/operate/command"
 	"berylpass/operate/status"
 	"berylpass/operate/version"
@@ -21,6 +22,7 @@
 		Random:  rand.Reader,
 		Store:   openStore,
 		Status:  status.Fetch,
+		Burn:    burn.Fetch,
 		Version: version.Current(),
 	})
 	os.Exit(c.Run(context.Background(), os.Args[1:]))
--- /dev/null
+++ b/operate/burn/page/plot.go
@@ -0,0 +1,188 @@
+package page
+
+import (
+	"bytes"
+	"cmp"
+	"html/template"
+	"image/color"
+	"slices"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/font"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"berylpass/operate/burn/report"
+)
+
+// Sizes of the plots.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	barWidth   = 14
+	// maxBars and maxLines bound what one plot shows.
+	maxBars  = 10
+	maxLines = 7
+	// headroom is the height of the axis over that of the greatest value.
+	headroom = 1.1
+)
+
+var (
+	red  = color.RGBA{R: 200, G: 60, B: 50, A: 255}
+	grey = color.RGBA{R: 150, G: 150, B: 150, A: 255}
+)
+
+func drawPlots(r report.Report) (plots, error) {
+	var p plots
+	for _, d := range []struct {
+		to   *template.HTML
+		plot func(report.Report) (*plot.Plot, error)
+	}{{&p.Timeline, timeline}, {&p.Organisations, worst}, {&p.Refusals, refusals}} {
+		drawn, err := d.plot(r)
+		if err != nil {
+			return plots{}, err
+		}
+		if *d.to, err = encode(drawn); err != nil {
+			return plots{}, err
+		}
+	}
+	return p, nil
+}
+
+func newPlot(title, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text = title, y
+	for _, style := range []*font.Font{&p.Title.TextStyle.Font, &p.X.Label.TextStyle.Font, &p.Y.Label.TextStyle.Font,
+		&p.X.Tick.Label.Font, &p.Y.Tick.Label.Font, &p.Legend.TextStyle.Font} {
+		style.Variant = "Sans"
+	}
+	p.Legend.Top = true
+	return p
+}
+
+// encode draws a plot as an SVG element.
+func encode(p *plot.Plot) (template.HTML, error) {
+	c := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(c))
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return "", err
+	}
+	// The prologue of a stand-alone file does not belong in a page.
+	text := bytes.ReplaceAll(b.Bytes(), []byte("font-family:Liberation Sans"), []byte("font-family:Liberation Sans, sans-serif"))
+	return template.HTML(text[max(0, bytes.Index(text, []byte("<svg"))):]), nil
+}
+
+// timeline plots the routes that missed the most requests over the last six hours.
+func timeline(r report.Report) (*plot.Plot, error) {
+	p := newPlot("Requests inside the rate that were not answered in time", "per cent")
+	p.X.Tick.Marker = plot.TickerFunc(hourTicks)
+	list := slices.Clone(r.Routes)
+	slices.SortStableFunc(list, func(a, b report.Route) int { return cmp.Compare(a.Good, b.Good) })
+	for i, route := range list[:min(maxLines, len(list))] {
+		points := missed(route)
+		if len(points) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, err
+		}
+		line.Color, line.Width = plotutil.Color(i), vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(route.Name, line)
+	}
+	p.Y.Min = 0
+	p.Y.Max = max(headroom*p.Y.Max, 1)
+	if len(list) == 0 {
+		p.X.Min, p.X.Max = float64(r.Taken.Add(-time.Hour).Unix()), float64(r.Taken.Unix())
+	}
+	return p, nil
+}
+
+// hourTicks marks the whole hours, in UTC.
+func hourTicks(low, high float64) []plot.Tick {
+	var ticks []plot.Tick
+	first := time.Unix(int64(low), 0).UTC().Truncate(time.Hour).Add(time.Hour)
+	for t := first; float64(t.Unix()) <= high; t = t.Add(time.Hour) {
+		ticks = append(ticks, plot.Tick{Value: float64(t.Unix()), Label: t.Format("15:04")})
+	}
+	return ticks
+}
+
+func missed(route report.Route) plotter.XYs {
+	var points plotter.XYs
+	for _, t := range route.Timeline {
+		if total := t.Good + t.Bad; total > 0 {
+			points = append(points, plotter.XY{X: float64(t.Start.Unix()), Y: 100 * float64(t.Bad) / float64(total)})
+		}
+	}
+	return points
+}
+
+// worst plots the worst-served organisations.
+func worst(r report.Report) (*plot.Plot, error) {
+	list := r.Organisations[:min(maxBars, len(r.Organisations))]
+	var values plotter.Values
+	for _, o := range list {
+		values = append(values, 100*(1-o.Good))
+	}
+	p := newPlot("Not answered in time, the worst-served organisations", "per cent")
+	return p, addBars(p, list, []bars{{"not in time", red, values}})
+}
+
+// refusals plots the organisations with the most refusals inside their rates.
+func refusals(r report.Report) (*plot.Plot, error) {
+	list := slices.Clone(r.Organisations)
+	slices.SortStableFunc(list, func(a, b report.Organisation) int {
+		return cmp.Or(cmp.Compare(b.RefusedInside, a.RefusedInside), cmp.Compare(b.RefusedOver, a.RefusedOver))
+	})
+	list = list[:min(maxBars, len(list))]
+	var inside, over plotter.Values
+	for _, o := range list {
+		inside, over = append(inside, float64(o.RefusedInside)), append(over, float64(o.RefusedOver))
+	}
+	p := newPlot("Refusals inside and over the rate", "requests")
+	return p, addBars(p, list, []bars{{"inside the rate", red, inside}, {"over the rate", grey, over}})
+}
+
+type bars struct {
+	label  string
+	color  color.Color
+	values plotter.Values
+}
+
+// addBars adds groups of bars, one group an organisation.
+func addBars(p *plot.Plot, list []report.Organisation, groups []bars) error {
+	p.Y.Min = 0
+	if len(list) == 0 {
+		p.X.Min, p.X.Max, p.Y.Max = 0, 1, 1
+		return nil
+	}
+	for i, g := range groups {
+		chart, err := plotter.NewBarChart(g.values, vg.Points(barWidth))
+		if err != nil {
+			return err
+		}
+		chart.Color, chart.LineStyle.Width = g.color, 0
+		chart.Offset = vg.Points(barWidth) * vg.Length(2*i-len(groups)+1) / 2
+		p.Add(chart)
+		p.Legend.Add(g.label, chart)
+	}
+	names := make([]string, len(list))
+	for i, o := range list {
+		names[i] = report.Name(o.Name)
+	}
+	p.NominalX(names...)
+	p.X.Tick.Label.Rotation = labelAngle
+	p.X.Tick.Label.XAlign, p.X.Tick.Label.YAlign = draw.XRight, draw.YCenter
+	p.Y.Max = max(headroom*p.Y.Max, 1)
+	return nil
+}
+
+// labelAngle is the angle of the organisations' names in radians.
+const labelAngle = 0.4
--- /dev/null
+++ b/operate/burn/recorder_test.go
@@ -0,0 +1,205 @@
+package burn
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var update = flag.Bool("update", false, "write golden files")
+
+// For a longer run: go test ./operate/burn -rapid.seed=0 -rapid.checks=20000.
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.checks", "200")
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+// morning is six hours at two daemons: one organisation is refused inside its
+// rate in the last hour, another one sends over its rate, a backend server is slow.
+func morning() Snapshot {
+	var snapshots []Snapshot
+	end := start.Add(6*time.Hour + 2*time.Minute)
+	for daemon := range 2 {
+		r := New(start)
+		for minute := range 362 {
+			now := start.Add(time.Duration(minute) * time.Minute)
+			for i := range 6 {
+				organisation := []string{"big-school", "small-library", "reading-club"}[i%3]
+				r.Record(now, Sample{Route: "reservations", Organisation: organisation, Objective: 0.99, Outcome: InTime, Latency: time.Duration(10+i) * time.Millisecond})
+			}
+			r.Record(now, Sample{Route: "titles", Objective: 0.9, Outcome: InTime, Latency: 5 * time.Millisecond})
+			if minute >= 300 && minute%2 == daemon {
+				r.Record(now, Sample{Route: "reservations", Organisation: "small-library", Objective: 0.99, Outcome: NotRun})
+			}
+			if minute%10 == 0 {
+				r.Record(now, Sample{Route: "reservations", Organisation: "big-school", Objective: 0.99, Outcome: OverRate})
+			}
+			if minute%90 == 7 {
+				r.Record(now, Sample{Route: "titles", Objective: 0.9, Outcome: Late, Latency: 4 * time.Second})
+				r.Record(now, Sample{Route: "reservations", Organisation: "reading-club", Objective: 0.99, Outcome: Unknown})
+			}
+		}
+		at := start.Add(time.Duration(100+daemon) * time.Minute)
+		r.Eject(at, "desk-3", "catalogue-desk", "slow", at.Add(-time.Duration(2+3*daemon)*time.Second))
+		if daemon == 0 {
+			r.Restore(at.Add(4*time.Minute), "desk-3")
+		}
+		snapshots = append(snapshots, r.Snapshot(end).WithDaemon(fmt.Sprintf("vm-%d", daemon+1)))
+	}
+	return Merge(snapshots...)
+}
+
+func TestSnapshotOfAMorning(t *testing.T) {
+	var b bytes.Buffer
+	if err := morning().Encode(&b); err != nil {
+		t.Fatal(err)
+	}
+	const file = "testdata/morning.json"
+	if *update {
+		if err := os.WriteFile(file, b.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b.String() != string(want) {
+		t.Errorf("%s differs (-update writes it); got:\n%s", file, b.String())
+	}
+	parsed, err := Parse(bytes.NewReader(want))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var again bytes.Buffer
+	if err := parsed.Encode(&again); err != nil || again.String() != string(want) {
+		t.Errorf("the parsed snapshot differs: %v", err)
+	}
+}
+
+// The windows against a list of all samples: exact at the start of a slot, and
+// elsewhere between the counts of the slots that are certainly in the window and
+// of those that may be.
+func TestWindowsFollowAListOfSamples(t *testing.T) {
+	windows := []struct {
+		width time.Duration
+		n     int64
+		of    func(Series) Tally
+	}{
+		{fastSlot, 1, func(s Series) Tally { return s.FiveMinutes }},
+		{fastSlot, 6, func(s Series) Tally { return s.ThirtyMinutes }},
+		{fastSlot, 12, func(s Series) Tally { return s.Hour }},
+		{slowSlot, 12, func(s Series) Tally { return s.SixHours }},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		r, now := New(start), start
+		var times []time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "samples") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1200).Draw(t, "pause")) * time.Second)
+			outcome := rapid.SampledFrom([]Outcome{InTime, Late, NotRun, OverRate, Unknown}).Draw(t, "outcome")
+			r.Record(now, Sample{Route: "a", Organisation: "b", Outcome: outcome})
+			if outcome != OverRate {
+				times = append(times, now)
+			}
+		}
+		now = now.Add(time.Duration(rapid.IntRange(0, 30000).Draw(t, "later")) * time.Second)
+		if rapid.Bool().Draw(t, "at the start of a slot") {
+			now = now.Truncate(slowSlot).Add(slowSlot)
+		}
+		s := r.Snapshot(now).Series[0]
+		for _, w := range windows {
+			slot := now.Truncate(w.width)
+			var surely, maybe float64
+			for _, at := range times {
+				if !at.Before(slot.Add(-w.width * time.Duration(w.n-1))) {
+					surely++
+				}
+				if !at.Before(slot.Add(-w.width * time.Duration(w.n))) {
+					maybe++
+				}
+			}
+			got := w.of(s).Good + w.of(s).Bad
+			if got < surely-0.01 || got > maybe+0.01 || now.Equal(slot) && math.Abs(got-maybe) > 0.01 {
+				t.Fatalf("%d times %s at %s: got %g, want from %g to %g", w.n, w.width, now, got, surely, maybe)
+			}
+		}
+	})
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	r := New(start)
+	for i := range MaxSeries + 1000 {
+		r.Record(start, Sample{Route: "a", Organisation: strconv.Itoa(i), Outcome: InTime})
+	}
+	s := r.Snapshot(start)
+	if len(s.Series) != MaxSeries+1 {
+		t.Errorf("%d series, want %d and one for the others", len(s.Series), MaxSeries)
+	}
+	var total uint64
+	for _, x := range s.Series {
+		total += x.InTime
+	}
+	if total != MaxSeries+1000 {
+		t.Errorf("%d requests counted, want %d", total, MaxSeries+1000)
+	}
+	later := start.Add(7 * time.Hour)
+	r.Record(later, Sample{Route: "a", Organisation: "new", Outcome: InTime})
+	if s := r.Snapshot(later); len(s.Series) != 1 {
+		t.Errorf("%d series after seven idle hours, want 1", len(s.Series))
+	}
+}
+
+func TestParseRefusesOtherBytes(t *testing.T) {
+	for _, text := range []string{"", "{}", "[]", `{"taken":"2026-01-01T00:00:00Z","since":"2027-01-01T00:00:00Z"}`, strings.Repeat(" ", maxSnapshot+1)} {
+		if _, err := Parse(strings.NewReader(text)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("got %v, want ErrMalformed", err)
+		}
+	}
+}
+
+// BenchmarkMemory reports the bytes that a pair of route and organisation takes.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{4200, 14000, 42000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			names := make([]string, n)
+			for i := range names {
+				names[i] = "organisation-" + strconv.Itoa(i)
+			}
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				r := New(start)
+				for i, name := range names {
+					r.Record(start, Sample{Route: names[i%3], Organisation: name, Outcome: InTime})
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/series")
+				runtime.KeepAlive(r)
+			}
+		})
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r := New(start)
+	now := start
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		r.Record(now, Sample{Route: "a", Organisation: "b", Objective: 0.99, Outcome: InTime, Latency: time.Millisecond})
+	}
+}
--- /dev/null
+++ b/operate/command/burn.go
@@ -0,0 +1,107 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"berylpass/operate/burn"
+	"berylpass/operate/burn/page"
+	"berylpass/operate/burn/report"
+)
+
+const formatHTML = "html"
+
+// burnReport reports on service-level burn.
+type burnReport struct {
+	root    *Command
+	Daemons []string      `long:"daemon" short:"d" value-name:"URL" description:"operators' port of a daemon, such as http://10.0.0.17:7004; repeat it to add up several"`
+	Files   []string      `long:"file" short:"f" value-name:"FILE" description:"snapshot saved with --save; repeat it to add up several"`
+	Format  string        `long:"format" choice:"text" choice:"json" choice:"html" default:"text" description:"format of the report"`
+	Out     string        `long:"out" short:"o" value-name:"FILE" description:"write the report to a file instead of standard output"`
+	Save    string        `long:"save" value-name:"FILE" description:"save the snapshot that the report is made of"`
+	Limit   int           `long:"limit" value-name:"N" default:"20" description:"lines a table, in text"`
+	Timeout time.Duration `long:"timeout" value-name:"DURATION" default:"30s" description:"time for asking the daemons"`
+}
+
+// Execute runs the command.
+func (c *burnReport) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	if len(c.Daemons)+len(c.Files) == 0 {
+		return fmt.Errorf("%w: nothing to report on; give --daemon or --file", ErrUsage)
+	}
+	s, err := c.collect()
+	if err != nil {
+		return err
+	}
+	if c.Save != "" {
+		if err := writeFile(c.Save, s.Encode); err != nil {
+			return err
+		}
+	}
+	if c.Out != "" {
+		return writeFile(c.Out, func(w io.Writer) error { return c.write(w, s) })
+	}
+	return c.write(c.root.environment.Stdout, s)
+}
+
+func (c *burnReport) collect() (burn.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(c.root.ctx, c.Timeout)
+	defer cancel()
+	var snapshots []burn.Snapshot
+	for _, url := range c.Daemons {
+		s, err := c.root.environment.Burn(ctx, strings.TrimSuffix(url, "/"))
+		if err != nil {
+			return burn.Snapshot{}, err
+		}
+		snapshots = append(snapshots, s)
+	}
+	for _, file := range c.Files {
+		s, err := readSnapshot(file)
+		if err != nil {
+			return burn.Snapshot{}, fmt.Errorf("%s: %w", file, err)
+		}
+		snapshots = append(snapshots, s)
+	}
+	return burn.Merge(snapshots...), nil
+}
+
+func readSnapshot(file string) (burn.Snapshot, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return burn.Snapshot{}, err
+	}
+	defer func() { _ = f.Close() }()
+	return burn.Parse(f)
+}
+
+func (c *burnReport) write(w io.Writer, s burn.Snapshot) error {
+	r := report.New(s)
+	switch c.Format {
+	case formatJSON:
+		return r.WriteJSON(w)
+	case formatHTML:
+		return page.Write(w, r)
+	}
+	return r.WriteText(w, max(c.Limit, 0))
+}
+
+// writeFile writes a file, or removes what it wrote of one.
+func writeFile(file string, write func(io.Writer) error) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	errWrite := write(f)
+	errClose := f.Close()
+	if errWrite != nil {
+		_ = os.Remove(file)
+		return errWrite
+	}
+	return errClose
+}
--- a/operate/command/command.go
+++ b/operate/command/command.go
@@ -29,6 +29,7 @@
 	"berylpass/config/mistake"
 	"berylpass/config/note"
 	"berylpass/config/settings"
+	"berylpass/operate/burn"
 	"berylpass/operate/status"
 	"berylpass/operate/version"
 )
@@ -59,7 +60,9 @@
 	// Store opens the platform's store.
 	Store func(settings.Platform) archive.Store
 	// Status reads a daemon's status from its operators' port.
-	Status  func(ctx context.Context, baseURL string) (status.Status, error)
+	Status func(ctx context.Context, baseURL string) (status.Status, error)
+	// Burn reads a daemon's burn snapshot from its operators' port.
+	Burn    func(ctx context.Context, baseURL string) (burn.Snapshot, error)
 	Version version.Version
 }
 
@@ -85,6 +88,8 @@
 	c.Add("check", "check a settings file", "Check a daemon's settings as a whole and report every mistake.", &check{root: c})
 	c.Add("keygen", "make a key", "Make an owner's key pair for signing release notes, or with --caller a key for an organisation's callers.", &keygen{root: c})
 	c.Add("version", "print the version", "Print the version of this program.", &printVersion{root: c})
+	c.Add("burn", "report on service-level burn", "Report how fast error budgets burn, who is served worst, what was refused and how ejections went: "+
+		"from daemons, or from saved snapshots. The HTML page loads nothing from outside.", &burnReport{root: c})
 	c.addNote()
 	return c
 }
--- a/operate/command/command_test.go
+++ b/operate/command/command_test.go
@@ -11,9 +11,11 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"berylpass/config/archive"
 	"berylpass/config/settings"
+	"berylpass/operate/burn"
 	"berylpass/operate/status"
 	"berylpass/operate/version"
 	"berylpass/platform/memory"
@@ -51,10 +53,27 @@
 	}}, nil
 }
 
+func snapshots(_ context.Context, url string) (burn.Snapshot, error) {
+	if url != "http://vm-1:7004" {
+		return burn.Snapshot{}, fmt.Errorf("%w: no answer", burn.ErrUnreadable)
+	}
+	start := time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+	r := burn.New(start)
+	for i := range 100 {
+		outcome := burn.InTime
+		if i%10 == 0 {
+			outcome = burn.NotRun
+		}
+		r.Record(start, burn.Sample{Route: "renewals", Organisation: "grove", Objective: 0.99, Outcome: outcome, Latency: time.Millisecond})
+	}
+	return r.Snapshot(start.Add(time.Minute)).WithDaemon("vm-1"), nil
+}
+
 func (s *session) berylpass(args []string) string {
 	var out bytes.Buffer
 	c := New(Environment{
 		Stdout: &out, Stderr: &out, Random: &s.random, Status: statuses,
+		Burn:    snapshots,
 		Store:   func(settings.Platform) archive.Store { return s.store },
 		Version: version.Version{Version: "v0.1.0", Commit: "0123456789ab", Go: "go1.26"},
 	})
