--- a/choice/picker/judge.go
+++ b/choice/picker/judge.go
@@ -13,7 +13,7 @@
 	// reportLife is the age up to which a report counts.
 	reportLife = time.Minute
 	// minSamples is the least number of samples of a level that counts.
-	minSamples = 4
+	minSamples = 3
 	// minSpread is the least spread that levels are credited with.
 	minSpread = 0.3
 	// madScale makes the median absolute deviation comparable to a standard deviation.
@@ -22,10 +22,15 @@
 	madLimit = 4
 	// slowSigmas is the number of standard errors that an outlier exceeds.
 	slowSigmas = 5.5
+	// slowEvidence is the evidence of slowness, in nats, that is significant.
+	slowEvidence = 14
+	// risingEvidence is the evidence of slowness or errors, in nats, from which
+	// the time of confirmation runs.
+	risingEvidence = 5
 	// failingEvidence is the evidence of errors, in nats, that makes an outlier.
-	failingEvidence = 14
+	failingEvidence = 12
 	// failingPeers is the evidence of errors at the median peer from which errors are common to all.
-	failingPeers = 7
+	failingPeers = 6
 	// passSigmas is the number of standard errors within which a trial is passed.
 	passSigmas = 3
 )
@@ -48,9 +53,12 @@
 	known bool
 }
 
-// slow reports whether the comparison shows an outlier.
-func (c comparison) slow() bool {
-	return c.known && c.ratio >= max(slowRatio, madLimit*c.deviation) && c.ratio >= slowSigmas*c.sigma
+// slow reports whether the comparison shows an outlier. Slowness is the guard's
+// evidence that service times rose, less that of the peers; it stands in for a
+// large number of samples.
+func (c comparison) slow(slowness float64) bool {
+	significant := slowness >= slowEvidence || c.ratio >= slowSigmas*c.sigma
+	return c.known && significant && c.ratio >= max(slowRatio, madLimit*c.deviation)
 }
 
 // usual reports whether the comparison shows nothing unusual.
@@ -62,6 +70,8 @@
 type baseline struct {
 	levels [class.Count][]float64
 	errors []float64
+	// slowness holds the sorted evidence of slowness.
+	slowness []float64
 	// stalled and reported count servers with fresh reports.
 	stalled, reported int
 }
@@ -74,6 +84,7 @@
 			continue
 		}
 		b.errors = append(b.errors, s.report.Errors)
+		b.slowness = append(b.slowness, s.report.Slowness)
 		b.reported++
 		if s.report.Stalled > 0 {
 			b.stalled++
@@ -85,6 +96,7 @@
 		}
 	}
 	slices.Sort(b.errors)
+	slices.Sort(b.slowness)
 	for c := range b.levels {
 		slices.Sort(b.levels[c])
 	}
@@ -125,6 +137,20 @@
 	}
 }
 
+// rising returns what may come to speak against s at the time now.
+func (s *server) rising(now time.Time, b baseline) Reason {
+	if !s.fresh(now) {
+		return None
+	}
+	switch {
+	case s.report.Errors-median(without(b.errors, s.report.Errors)) >= risingEvidence:
+		return Failing
+	case s.report.Slowness-median(without(b.slowness, s.report.Slowness)) >= risingEvidence:
+		return Slow
+	}
+	return None
+}
+
 // suspicion returns what speaks against s at the time now.
 func (s *server) suspicion(now time.Time, b baseline, c comparison) Reason {
 	if n, _ := s.silent(now); n >= silentRequests && s.path.probation.State == probation.Clear {
@@ -138,7 +164,7 @@
 		return Stalled
 	case s.report.Errors >= failingEvidence && median(without(b.errors, s.report.Errors)) < failingPeers:
 		return Failing
-	case c.slow():
+	case c.slow(s.report.Slowness - median(without(b.slowness, s.report.Slowness))):
 		return Slow
 	}
 	return None
