--- a/announcement/announcement.go
+++ b/announcement/announcement.go
@@ -13,7 +13,7 @@
 //
 // # Usage
 //
-//	port, err := httpport.New("127.0.0.1:7004", announcement.New(guard))
+//	port, err := listener.New("127.0.0.1:7004", announcement.New(guard))
 package announcement
 
 import (
--- a/cmd/berylpass/main.go
+++ b/cmd/berylpass/main.go
@@ -10,6 +10,7 @@
 	"berylpass/config/settings"
 	"berylpass/operate/burn"
 	"berylpass/operate/command"
+	"berylpass/operate/process"
 	"berylpass/operate/status"
 	"berylpass/operate/version"
 	"berylpass/platform/client"
@@ -25,6 +26,7 @@
 		Burn:    burn.Fetch,
 		Version: version.Current(),
 	})
+	process.Add(c, os.Stdout, os.Stderr)
 	os.Exit(c.Run(context.Background(), os.Args[1:]))
 }
 
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,106 @@
+// Package daemon puts the parts of one berylpass process together: the ingress
+// and the guard, the limits, the membership and the configuration, on their ports.
+//
+// # Usage
+//
+//	d, err := daemon.New(settings, logger)
+//	if err != nil { ... } // nothing is left running
+//	d.Shutdown(ctx)       // takes no new work, finishes what is in flight
+//	d.Close()             // ends at once
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"berylpass/caller/listener"
+	"berylpass/choice/chooser"
+	"berylpass/config/revision"
+	"berylpass/config/settings"
+	"berylpass/fleet/backend"
+	"berylpass/fleet/directory"
+	"berylpass/fleet/member"
+	"berylpass/fleet/membership"
+	"berylpass/guard"
+	"berylpass/hop/control"
+	"berylpass/hop/forwarder"
+	"berylpass/ingress"
+	"berylpass/limit/enforcer"
+	"berylpass/mesh"
+	"berylpass/mesh/meshkey"
+	"berylpass/operate/event"
+)
+
+// Daemon is one running process of the fleet.
+type Daemon struct {
+	settings settings.Settings
+	book     *directory.Directory
+	key      *meshkey.MeshKey
+	self     member.Member
+	logger   zerolog.Logger
+	metrics  metrics.Registry
+	observer *observer
+	clock    func() time.Time
+
+	mesh          *mesh.Mesh
+	members       *membership.Membership
+	configuration inForce
+	follower      *revision.Follower
+	limits        *enforcer.Enforcer
+	chooser       *chooser.Chooser
+	control       *control.Control
+	forwarder     *forwarder.Forwarder
+	guard         *guard.Guard
+	ingress       *ingress.Ingress
+
+	callers, data, backends, operating *listener.Listener
+
+	// parts are the closers of what has been started, the last one first.
+	parts   []func()
+	closing sync.Once
+
+	noticeMu sync.Mutex
+	noticeAt map[backend.ID]time.Time
+}
+
+// New starts a daemon. It takes requests as soon as it holds a configuration.
+func New(s settings.Settings, logger zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: s, logger: logger, metrics: metrics.NewRegistry(), clock: time.Now,
+		noticeAt: map[backend.ID]time.Time{},
+	}
+	d.observer = &observer{
+		logger: logger, metrics: d.metrics,
+		changed: d.ownBackendChanged, noticed: d.noticed,
+		heard: func(revision uint64, from member.ID) { d.follower.Heard(revision, from) },
+		ended: func(time.Time, ingress.Record) {},
+	}
+	event.Starting.Log(&d.logger).Str("daemon", s.Daemon.ID).Str("version", Version).Send()
+	if err := d.start(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Addresses are where a daemon listens, host:port.
+type Addresses struct {
+	Callers, Control, Data, Backends, Operators string
+}
+
+// Addresses returns where the daemon listens.
+func (d *Daemon) Addresses() Addresses {
+	return Addresses{
+		Callers: d.callers.Address(), Control: d.mesh.Address(), Data: d.data.Address(),
+		Backends: d.backends.Address(), Operators: d.operating.Address(),
+	}
+}
+
+// Ready returns why the daemon takes no requests, or nil.
+func (d *Daemon) Ready(now time.Time) error { return d.configuration.Ready(now) }
+
+// started notes how a part that has been started is ended.
+func (d *Daemon) started(end func()) { d.parts = append([]func(){end}, d.parts...) }
--- /dev/null
+++ b/daemon/late.go
@@ -0,0 +1,47 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"berylpass/config/revision"
+	"berylpass/config/snapshot"
+	"berylpass/ingress"
+)
+
+// errLeaving is the reason for which a daemon that shuts down takes no requests.
+var errLeaving = errors.New("daemon is leaving")
+
+// inForce yields the configuration to parts that start before it is followed.
+type inForce struct {
+	follower atomic.Pointer[revision.Follower]
+	leaving  atomic.Bool
+}
+
+var empty = snapshot.New(0)
+
+// Current returns the snapshot in force, an empty one at first.
+func (c *inForce) Current() snapshot.Snapshot {
+	if f := c.follower.Load(); f != nil {
+		return f.Current()
+	}
+	return empty
+}
+
+// Ready returns why the daemon takes no requests, or none with keys if the error
+// wraps revision.ErrIsolated. It wraps ingress.ErrNotReady.
+func (c *inForce) Ready(now time.Time) error {
+	f := c.follower.Load()
+	switch {
+	case c.leaving.Load():
+		return fmt.Errorf("%w: %w", ingress.ErrNotReady, errLeaving)
+	case f == nil:
+		return fmt.Errorf("%w: %w", ingress.ErrNotReady, revision.ErrNoConfiguration)
+	}
+	if err := f.Ready(now); err != nil {
+		return fmt.Errorf("%w: %w", ingress.ErrNotReady, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/observer.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"berylpass/choice/picker"
+	"berylpass/choice/report"
+	"berylpass/fleet/backend"
+	"berylpass/fleet/member"
+	"berylpass/ingress"
+	"berylpass/operate/event"
+)
+
+// observer turns what the parts of a daemon tell into log events and metrics.
+type observer struct {
+	logger  zerolog.Logger
+	metrics metrics.Registry
+	// changed, noticed and heard pass news on to other parts.
+	changed func(b backend.Backend)
+	noticed func(id backend.ID, r report.Report)
+	heard   func(revision uint64, from member.ID)
+	ended   func(now time.Time, r ingress.Record)
+
+	mu       sync.Mutex
+	detected []time.Duration
+}
+
+// maxDetected bounds the detection times that are kept for the burn report.
+const maxDetected = 1000
+
+func (o *observer) count(name string) { metrics.GetOrRegisterCounter(name, o.metrics).Inc(1) }
+
+// BackendChanged implements guard.Observer.
+func (o *observer) BackendChanged(b backend.Backend) {
+	e := event.BackendAnnounced
+	switch b.State {
+	case backend.Draining:
+		e = event.BackendDraining
+	case backend.Gone:
+		e = event.BackendGone
+	case backend.Serving:
+	}
+	e.Log(&o.logger).Str("backend", string(b.ID)).Str("service", b.Service).Send()
+	o.changed(b)
+}
+
+// Refused implements guard.Observer.
+func (o *observer) Refused(reason string) {
+	o.count(`guard-refusals{reason="` + reason + `"}`)
+	event.GuardRefused.Log(&o.logger).Str("reason", reason).Send()
+}
+
+// Noticed implements guard.Observer.
+func (o *observer) Noticed(id backend.ID, r report.Report) { o.noticed(id, r) }
+
+// Ejected implements chooser.Observer.
+func (o *observer) Ejected(e picker.Ejected) {
+	o.count(`ejections{reason="` + e.Reason.String() + `"}`)
+	metrics.GetOrRegisterTimer("detection-time", o.metrics).Update(e.After)
+	o.mu.Lock()
+	if len(o.detected) < maxDetected {
+		o.detected = append(o.detected, e.After)
+	}
+	o.mu.Unlock()
+	event.Ejected.Log(&o.logger).Str("backend", string(e.Backend)).Stringer("reason", e.Reason).Dur("after", e.After).Send()
+}
+
+// Restored implements chooser.Observer.
+func (o *observer) Restored(r picker.Restored) {
+	o.count("restorations")
+	event.Restored.Log(&o.logger).Str("backend", string(r.Backend)).Dur("out", r.Out).Send()
+}
+
+// Ended implements ingress.Observer.
+func (o *observer) Ended(now time.Time, r ingress.Record) {
+	o.count(`requests{outcome="` + string(r.Outcome) + `"}`)
+	metrics.GetOrRegisterTimer("request-time", o.metrics).Update(r.Took)
+	if r.Outcome == ingress.Unknown {
+		event.UnknownOutcome.Log(&o.logger).Str("route", r.Route).Str("reason", r.Reason).Send()
+	}
+	o.ended(now, r)
+}
+
+// HeardRevision implements ingress.Observer.
+func (o *observer) HeardRevision(revision uint64, from member.ID) { o.heard(revision, from) }
+
+func (o *observer) memberChanged(m member.Member) {
+	e := event.MemberJoined
+	switch m.State {
+	case member.Suspect:
+		e = event.MemberSuspect
+	case member.Dead:
+		e = event.MemberDead
+	case member.Leaving:
+		e = event.MemberLeft
+	case member.Serving:
+	}
+	e.Log(&o.logger).Str("member", string(m.ID)).Stringer("state", m.State).Uint64("incarnation", m.Incarnation).Send()
+}
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+
+	"berylpass/operate/exposition"
+	"berylpass/operate/status"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// operators returns the handler of the operators' port.
+func (d *Daemon) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", exposition.New(d.metrics))
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.Status()) })
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(body, '\n'))
+}
+
+// Status describes the daemon and its view of the fleet.
+func (d *Daemon) Status() status.Status {
+	s := d.configuration.Current()
+	out := status.Status{
+		Daemon:      string(d.self.ID),
+		Datacentre:  d.self.Datacentre,
+		Version:     Version,
+		Incarnation: d.self.Incarnation,
+		Revision:    s.Revision,
+		Ready:       "ready",
+		InFlight:    d.ingress.InFlight() + d.guard.InFlight(),
+		Backends:    d.chooser.Status(),
+	}
+	if err := d.Ready(d.clock()); err != nil {
+		out.Ready = err.Error()
+	}
+	members := map[string]int{}
+	for _, m := range d.members.Members() {
+		members[m.Datacentre]++
+		out.Members = append(out.Members, status.Member{
+			ID: string(m.ID), Datacentre: m.Datacentre, State: m.State.String(), Revision: m.Revision, Control: m.Control,
+		})
+	}
+	backends := map[string]int{}
+	for _, line := range out.Backends {
+		backends[line.Datacentre]++
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Datacentres)) {
+		c := s.Datacentres[name]
+		out.Datacentres = append(out.Datacentres, status.Datacentre{
+			Name: name, Region: c.Region, InService: c.InService, Members: members[name], Backends: backends[name],
+		})
+	}
+	return out
+}
--- a/ingress/session_test.go
+++ b/daemon/session_test.go
@@ -1,14 +1,15 @@
-package ingress_test
+package daemon_test
 
 import (
 	"bytes"
-	"errors"
+	"context"
 	"flag"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -20,40 +21,23 @@
 	"berylpass/config/service"
 	"berylpass/config/snapshot"
 	"berylpass/emulator"
-	"berylpass/fleet/backend"
-	"berylpass/fleet/member"
-	"berylpass/guard"
-	"berylpass/hop/forwarder"
-	"berylpass/httpport"
 	"berylpass/ingress"
-	"berylpass/mesh/meshkey"
+	"berylpass/operate/localfleet"
 )
 
 var update = flag.Bool("update", false, "write the golden files anew")
 
-const secret = "farmers-key-0123456789"
-
-type fixed snapshot.Snapshot
-
-func (f fixed) Current() snapshot.Snapshot { return snapshot.Snapshot(f) }
-
-type oneBackend struct {
-	backend backend.Backend
-	guard   member.Member
-}
-
-func (f oneBackend) Pick(_ time.Time, service string) (backend.Backend, member.Member, error) {
-	if service != f.backend.Service {
-		return backend.Backend{}, member.Member{}, errors.New("no backend server")
-	}
-	return f.backend, f.guard, nil
-}
+const (
+	secret    = "farmers-key-0123456789"
+	testLimit = 30 * time.Second
+)
 
-func configuration() snapshot.Snapshot {
+func configuration(revision uint64) snapshot.Snapshot {
 	o := organisation.New("kowalski-orchards").WithLimit(100, 100).WithKey(key.New("k1", key.Sum(secret)))
-	return snapshot.New(1).
+	return snapshot.New(revision).
 		WithOrganisation(o).
 		WithDatacentre(datacentre.New("srem", "wielkopolska")).
+		WithDatacentre(datacentre.New("gniezno", "wielkopolska")).
 		WithService(service.New("rounds")).
 		WithRoute(route.New("lookups", "rounds").WithMatch("", "/fields", "GET").WithRepeatable(true)).
 		WithRoute(route.New("visits", "rounds").WithMatch("", "/visits", "POST")).
@@ -61,38 +45,45 @@
 		Index()
 }
 
-// TestSessionThroughTwoDaemons sends requests through the ingress of one daemon
-// to a backend server beside another and compares the transcript.
-func TestSessionThroughTwoDaemons(t *testing.T) {
-	meshKey, err := meshkey.New("secret-of-this-fleet")
+// fleet starts two daemons with one backend server beside the second.
+func fleet(t *testing.T, options ...emulator.Option) (*localfleet.LocalFleet, *localfleet.Backend) {
+	t.Helper()
+	f, err := localfleet.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	e, err := emulator.New("127.0.0.1:0", emulator.WithSecrets(secret), emulator.WithServiceTime(time.Millisecond))
+	t.Cleanup(f.Close)
+	for _, place := range [][2]string{{"vm-1", "gniezno"}, {"vm-2", "srem"}} {
+		if _, err := f.StartDaemon(place[0], place[1]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	options = append([]emulator.Option{emulator.WithSecrets(secret), emulator.WithServiceTime(time.Millisecond)}, options...)
+	b, err := f.StartBackend("vm-2", "rounds-1", "rounds", options...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer e.Close()
-	s := fixed(configuration())
-	beside := member.New("vm-2", "srem").WithIncarnation(7)
-	b := backend.New("rounds-1", "rounds", beside.ID).WithAddress(e.Address()).WithSlots(4)
-	g := guard.New(beside, s, guard.DirectLeg{Transport: &http.Transport{}})
-	g.Announce(b)
-	data, err := httpport.New("127.0.0.1:0", g, httpport.WithTLS(meshKey.NonBlockingServerTLS()))
-	if err != nil {
+	publish(t, f, configuration(1))
+	return f, b
+}
+
+func publish(t *testing.T, f *localfleet.LocalFleet, s snapshot.Snapshot) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	if err := f.Publish(ctx, s); err != nil {
 		t.Fatal(err)
 	}
-	defer data.Close()
-	f := forwarder.New(meshKey.ClientTLS(), 1<<20)
-	defer f.Close()
-	fleet := oneBackend{backend: b, guard: beside.WithAddresses("", data.Address())}
-	i := ingress.New(member.New("vm-1", "gniezno").WithIncarnation(3), s, fleet, f)
-	callers, err := httpport.New("127.0.0.1:0", i)
-	if err != nil {
+	if err := f.Await(ctx, s.Revision); err != nil {
 		t.Fatal(err)
 	}
-	defer callers.Close()
+}
 
+// TestSessionThroughTwoDaemons sends requests through the ingress of one daemon
+// to a backend server beside another and compares the transcript.
+func TestSessionThroughTwoDaemons(t *testing.T) {
+	f, b := fleet(t)
+	address := f.Daemons()["vm-1"].Addresses().Callers
 	var transcript bytes.Buffer
 	for _, line := range []string{
 		"GET /fields/12 Bearer " + secret,
@@ -103,10 +94,11 @@
 		"DELETE /fields/12 Bearer " + secret,
 		"GET /elsewhere Bearer " + secret,
 	} {
-		exchange(t, &transcript, callers.Address(), line)
+		exchange(t, &transcript, address, line)
 	}
-	fmt.Fprintf(&transcript, "backend server: %d runs, %d with a key\n", e.Total(), e.KeysSeen())
-	compare(t, "two-daemons.golden", transcript.Bytes())
+	fmt.Fprintf(&transcript, "backend server: %d runs, %d with a key\n", b.Total(), b.KeysSeen())
+	incarnation := regexp.MustCompile(`vm-1/\d+/`)
+	compare(t, "two-daemons.golden", incarnation.ReplaceAll(transcript.Bytes(), []byte("vm-1/N/")))
 }
 
 func exchange(t *testing.T, out io.Writer, address, line string) {
--- /dev/null
+++ b/daemon/shutdown.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"berylpass/operate/event"
+)
+
+// drainLimitsTimeout bounds the handing over of allotments at a shutdown.
+const drainLimitsTimeout = 3 * time.Second
+
+// Shutdown takes no new work, finishes what is in flight, hands allotments over,
+// tells the fleet and ends the daemon. It cuts what is left when ctx ends first,
+// and returns the error of ctx then.
+func (d *Daemon) Shutdown(ctx context.Context) error {
+	event.ShutdownRequested.Log(&d.logger).Send()
+	d.configuration.leaving.Store(true)
+	// The fleet learns first, so that other ingresses choose other guards while
+	// this one still finishes what it has.
+	leaveErr := d.members.Leave(ctx)
+	callersErr := d.callers.Shutdown(ctx)
+	guardErr := d.guard.Drain(ctx)
+	drainErr := d.drainLimits(ctx)
+	departErr := d.members.Depart(ctx)
+	d.Close()
+	if err := errors.Join(callersErr, guardErr); err != nil {
+		event.ForcedEnd.Log(&d.logger).Err(err).Send()
+		return err
+	}
+	event.ShutdownDone.Log(&d.logger).AnErr("leave", leaveErr).AnErr("drain", drainErr).AnErr("depart", departErr).Send()
+	return nil
+}
+
+// drainLimits hands allotments over. What is not handed over in time is lent by
+// others once this daemon's leases have lapsed.
+func (d *Daemon) drainLimits(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, drainLimitsTimeout)
+	defer cancel()
+	return d.limits.Drain(ctx)
+}
+
+// Close ends the daemon at once. It may be called again.
+func (d *Daemon) Close() {
+	d.closing.Do(func() {
+		for _, part := range d.parts {
+			part()
+		}
+	})
+}
--- /dev/null
+++ b/daemon/start.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"fmt"
+
+	"github.com/lesismal/llib/std/crypto/tls"
+
+	"berylpass/announcement"
+	"berylpass/caller/certificate"
+	"berylpass/caller/listener"
+	"berylpass/choice/chooser"
+	"berylpass/config/revision"
+	"berylpass/config/signature"
+	"berylpass/config/snapshot"
+	"berylpass/fleet/backend"
+	"berylpass/fleet/directory"
+	"berylpass/fleet/member"
+	"berylpass/fleet/membership"
+	"berylpass/fleet/roster"
+	"berylpass/guard"
+	"berylpass/hop/control"
+	"berylpass/hop/forwarder"
+	"berylpass/ingress"
+	"berylpass/leg"
+	"berylpass/limit/enforcer"
+	"berylpass/mesh"
+	"berylpass/mesh/meshkey"
+	"berylpass/operate/event"
+	"berylpass/platform/client"
+)
+
+// start brings the parts up in the order in which they need each other. What has
+// been started when it fails is ended by Close.
+func (d *Daemon) start() error {
+	if err := d.startMesh(); err != nil {
+		return err
+	}
+	d.self = member.New(member.ID(d.settings.Daemon.ID), d.settings.Daemon.Datacentre).
+		WithIncarnation(uint64(d.clock().UnixMilli()))
+	store := client.New(d.settings.Platform.URL, client.WithTimeout(d.settings.Platform.Timeout))
+	d.startChoice(store)
+	if err := d.startData(); err != nil {
+		return err
+	}
+	d.startFleet(store)
+	d.startIngress()
+	if err := d.register(); err != nil {
+		return err
+	}
+	d.mesh.Serve()
+	return d.startPorts()
+}
+
+func (d *Daemon) startMesh() error {
+	key, err := meshkey.New(d.settings.Mesh.Secret, d.settings.Mesh.AlsoTrustedSecrets...)
+	if err != nil {
+		return err
+	}
+	d.key, d.book = key, directory.New()
+	d.mesh, err = mesh.New(d.settings.Listen.Control, key, d.book)
+	if err != nil {
+		return err
+	}
+	d.started(d.mesh.Close)
+	return nil
+}
+
+// startChoice starts the limits, the choice of backend servers and the guard.
+func (d *Daemon) startChoice(store *client.Client) {
+	d.limits = enforcer.New(enforcer.Options{
+		Self: d.self.ID, Incarnation: d.self.Incarnation, Mesh: d.mesh, Store: store, Clock: d.clock,
+	})
+	d.started(d.limits.Close)
+	d.control = control.New(d.self, d.mesh, d.clock)
+	d.chooser = chooser.New(chooser.Options{
+		Self: d.self, Seed: d.self.Incarnation, Clock: d.clock, Observer: d.observer, Prober: d.control,
+	})
+	d.started(d.chooser.Close)
+	d.guard = guard.New(d.self, guard.Parts{
+		Configuration: &d.configuration,
+		Leg:           leg.New(leg.WithMaxAnswer(d.settings.Limits.MaxBody)),
+		Limit:         d.limits,
+		Observer:      d.observer,
+		Clock:         d.clock,
+	})
+	d.started(d.guard.Close)
+}
+
+func (d *Daemon) startData() error {
+	data, err := listener.New(d.settings.Listen.Data, d.guard,
+		listener.WithTLS(d.key.NonBlockingServerTLS()),
+		listener.WithMaxBody(d.settings.Limits.MaxBody),
+		listener.WithMaxHeader(2*int(d.settings.Limits.MaxHeader)))
+	if err != nil {
+		return err
+	}
+	d.data = data
+	d.started(data.Close)
+	d.self = d.self.WithAddresses(d.mesh.Address(), data.Address())
+	return nil
+}
+
+// startFleet joins the fleet and follows the configuration.
+func (d *Daemon) startFleet(store *client.Client) {
+	d.members = membership.New(d.self, d.mesh, d.book, store,
+		membership.WithSeeds(d.settings.Mesh.Seeds...),
+		membership.WithRandomSeed(d.self.Incarnation),
+		membership.WithOnMember(d.memberChanged),
+		membership.WithOnBackend(d.backendChanged),
+		membership.WithOnClock(d.clockHeard))
+	d.started(d.members.Close)
+	d.follower = revision.New(signature.NewVerifier(d.settings.Owners), d.members, d.mesh, store,
+		revision.WithOnChange(d.configurationChanged))
+	d.started(d.follower.Close)
+	d.configuration.follower.Store(d.follower)
+}
+
+func (d *Daemon) startIngress() {
+	d.forwarder = forwarder.New(d.key.ClientTLS(), d.settings.Limits.MaxBody)
+	d.ingress = ingress.New(d.self, ingress.Parts{
+		Configuration: &d.configuration,
+		Chooser:       d.chooser,
+		Limit:         d.limits,
+		Hop:           d.forwarder,
+		Guards:        d.control,
+		Observer:      d.observer,
+		Clock:         d.clock,
+	})
+	d.started(d.forwarder.Close)
+}
+
+func (d *Daemon) register() error {
+	for _, r := range []struct {
+		name     string
+		receiver any
+	}{
+		{guard.ServiceName, d.guard.Receiver()},
+		{enforcer.ServiceName, d.limits.Receiver()},
+		{membership.ServiceName, d.members.Receiver()},
+		{revision.ServiceName, d.follower.Receiver()},
+		{NoticeService, &NoticeReceiver{chooser: d.chooser}},
+	} {
+		if err := d.mesh.Register(r.name, r.receiver); err != nil {
+			return fmt.Errorf("register %s: %w", r.name, err)
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) startPorts() (err error) {
+	if d.backends, err = listener.New(d.settings.Listen.Backends, announcement.New(d.guard)); err != nil {
+		return err
+	}
+	d.started(d.backends.Close)
+	if d.operating, err = listener.New(d.settings.Listen.Operators, d.operators()); err != nil {
+		return err
+	}
+	d.started(d.operating.Close)
+	options, err := d.callerOptions()
+	if err != nil {
+		return err
+	}
+	if d.callers, err = listener.New(d.settings.Listen.Callers, d.ingress, options...); err != nil {
+		return err
+	}
+	d.started(d.callers.Close)
+	event.Waiting.Log(&d.logger).Str("callers", d.callers.Address()).Send()
+	return nil
+}
+
+func (d *Daemon) callerOptions() ([]listener.Option, error) {
+	options := []listener.Option{
+		listener.WithMaxBody(d.settings.Limits.MaxBody),
+		listener.WithMaxHeader(int(d.settings.Limits.MaxHeader)),
+		listener.WithMaxConnections(d.settings.Limits.CallerConnections),
+		listener.WithRefusal(ingress.Refuse),
+	}
+	if d.settings.TLS.Certificate == "" {
+		return options, nil
+	}
+	c, err := certificate.New(d.settings.TLS.Certificate, d.settings.TLS.Key, d.clock, certificate.WithObserver(d.certificateRead))
+	if err != nil {
+		return nil, err
+	}
+	d.certificateRead(nil)
+	return append(options, listener.WithTLS(&tls.Config{GetCertificate: c.Get, MinVersion: tls.VersionTLS12})), nil
+}
+
+func (d *Daemon) certificateRead(err error) {
+	if err != nil {
+		event.CertificateFailed.Log(&d.logger).Err(err).Send()
+		return
+	}
+	event.CertificateLoaded.Log(&d.logger).Str("certificate", d.settings.TLS.Certificate).Send()
+}
+
+// memberChanged passes news of another daemon on to the parts that use it.
+func (d *Daemon) memberChanged(m member.Member) {
+	d.observer.memberChanged(m)
+	if m.State == member.Dead {
+		d.control.Forget(m.ID)
+	}
+	d.chooser.SetGuard(m)
+	d.limits.SetMembers(d.members.Members())
+}
+
+func (d *Daemon) clockHeard(h roster.ClockHeard) {
+	d.control.Heard(h.From, h.Incarnation, int64(h.Milliseconds))
+}
+
+// ownBackendChanged passes news of a backend server beside this daemon on.
+func (d *Daemon) ownBackendChanged(b backend.Backend) {
+	d.chooser.SetBackend(b, d.self)
+	d.members.Announce(b)
+}
+
+func (d *Daemon) backendChanged(b backend.Backend) {
+	beside, ok := d.members.Member(b.Member)
+	if !ok {
+		return
+	}
+	d.chooser.SetBackend(b, beside)
+}
+
+func (d *Daemon) configurationChanged(s snapshot.Snapshot) {
+	event.RevisionApplied.Log(&d.logger).Uint64("revision", s.Revision).Send()
+	d.guard.ConfigurationChanged(s)
+	d.chooser.SetConfiguration(s)
+	d.limits.SetConfiguration(s)
+	d.limits.SetMembers(d.members.Members())
+}
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -19,6 +19,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -63,6 +64,14 @@
 	started time.Time
 	secrets []string
 	runs    map[string]int
+	journal []Run
+}
+
+// Run is one request that ran.
+type Run struct {
+	At time.Time
+	// Request is its RequestHeader.
+	Request string
 }
 
 // Option changes how an emulator is set up.
@@ -142,6 +151,13 @@
 	return out
 }
 
+// Journal returns all runs of requests with a RequestHeader, in order of time.
+func (e *Emulator) Journal() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.journal)
+}
+
 // SetFault makes it misbehave, or heals it, from the next request on.
 func (e *Emulator) SetFault(f Fault) {
 	e.mu.Lock()
@@ -233,6 +249,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs[id]++
+	e.journal = append(e.journal, Run{At: e.clock(), Request: id})
 }
 
 // plan draws the service time: a uniform body with a slow hundredth, five times as slow when cold and overrun.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -10,8 +10,8 @@
 //
 //	g := guard.New(self, guard.Parts{Configuration: c, Leg: leg.New(), Limit: desk})
 //	mesh.Register(guard.ServiceName, g.Receiver())
-//	data, err := httpport.New(address, g, httpport.WithTLS(tls))
-//	backends, err := httpport.New(loopback, announcement.New(g))
+//	data, err := listener.New(address, g, listener.WithTLS(tls))
+//	backends, err := listener.New(loopback, announcement.New(g))
 //	g.Drain(ctx) // on leave: refuses new requests, waits for those in flight
 //	g.Close()
 package guard
@@ -111,7 +111,7 @@
 		for {
 			select {
 			case <-ticker.C:
-				g.tick(g.Parts.Clock())
+				g.tick(g.Clock())
 			case <-g.done:
 				return
 			}
--- /dev/null
+++ b/hop/control/control.go
@@ -0,0 +1,131 @@
+// Package control makes the control calls of an ingress to guards, and keeps the
+// bounds of the guards' clocks.
+//
+// # Usage
+//
+//	c := control.New(mesh, time.Now)
+//	c.Heard("vm-17", incarnation, reading)
+//	deadlines, err := c.Deadlines(ctx, "vm-17")
+//	incarnation, expires := deadlines.At(now, left)
+//	certainty := c.Cancel(ctx, "vm-17", envelope)
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"berylpass/attempt/clock"
+	"berylpass/attempt/id"
+	"berylpass/attempt/journey"
+	"berylpass/attempt/ledger"
+	"berylpass/choice/chooser"
+	"berylpass/choice/report"
+	"berylpass/choice/verdict"
+	"berylpass/fleet/member"
+	"berylpass/guard"
+	"berylpass/hop"
+)
+
+// cancelTimeout bounds one call of Cancel.
+const cancelTimeout = 500 * time.Millisecond
+
+// probeRequests numbers probes apart from callers' requests.
+const probeRequests = 1 << 63
+
+// ErrNoClock reports a guard whose clock could not be read.
+var ErrNoClock = errors.New("guard's clock could not be read")
+
+// Caller calls methods of other daemons.
+type Caller interface {
+	Call(ctx context.Context, to member.ID, method string, args, reply any) error
+}
+
+// Control is safe for concurrent use.
+type Control struct {
+	self   member.Member
+	caller Caller
+	now    func() time.Time
+
+	mu     sync.Mutex
+	clocks map[member.ID]clock.Clock
+	probes uint64
+}
+
+// New returns a control of the daemon self that knows no clocks.
+func New(self member.Member, caller Caller, now func() time.Time) *Control {
+	return &Control{self: self, caller: caller, now: now, clocks: map[member.ID]clock.Clock{}}
+}
+
+// Heard takes a reading of a guard's clock, in milliseconds since its start, that has just arrived.
+func (c *Control) Heard(guard member.ID, incarnation uint64, reading int64) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.clocks[guard] = c.clocks[guard].WithReading(incarnation, time.Duration(reading)*time.Millisecond, now)
+}
+
+// Forget drops a guard that has left the fleet.
+func (c *Control) Forget(guard member.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.clocks, guard)
+}
+
+// Clock returns the bound of a guard's clock. It asks the guard if none is
+// known; its error then wraps ErrNoClock.
+func (c *Control) Clock(ctx context.Context, of member.ID) (clock.Clock, error) {
+	c.mu.Lock()
+	known, ok := c.clocks[of]
+	c.mu.Unlock()
+	if ok {
+		return known, nil
+	}
+	var reply guard.ClockReply
+	if err := c.caller.Call(ctx, of, guard.ServiceName+".ReadClock", guard.ClockArgs{}, &reply); err != nil {
+		return clock.Clock{}, fmt.Errorf("%w: %w", ErrNoClock, err)
+	}
+	c.Heard(of, reply.Incarnation, reply.Clock)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clocks[of], nil
+}
+
+// Cancel asks a guard that an attempt not run and returns what is certain then.
+func (c *Control) Cancel(ctx context.Context, at member.ID, e hop.Envelope) journey.Certainty {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	args := guard.CancelArgs{Attempt: e.Attempt, Incarnation: e.Incarnation, Expires: e.Expires}
+	var reply guard.CancelReply
+	if err := c.caller.Call(ctx, at, guard.ServiceName+".Cancel", args, &reply); err != nil {
+		return journey.Unreachable
+	}
+	c.Heard(at, reply.Incarnation, reply.Clock)
+	if reply.State == ledger.NotRun {
+		return journey.NeverRuns
+	}
+	return journey.MayRun
+}
+
+// Probe asks a guard to send a safe request to its backend server.
+func (c *Control) Probe(ctx context.Context, target chooser.Target) (verdict.Verdict, *report.Report) {
+	c.mu.Lock()
+	c.probes++
+	n := c.probes
+	c.mu.Unlock()
+	args := guard.ProbeArgs{
+		Attempt: id.New(c.self.ID, c.self.Incarnation, probeRequests+n),
+		Backend: target.Backend.ID,
+	}
+	var reply guard.ProbeReply
+	if err := c.caller.Call(ctx, target.Guard.ID, guard.ServiceName+".Probe", args, &reply); err != nil {
+		return verdict.PathFailure, nil
+	}
+	var load report.Report
+	if err := load.UnmarshalText(reply.Load); err != nil {
+		return reply.Verdict, nil
+	}
+	return reply.Verdict, &load
+}
--- /dev/null
+++ b/ingress/exchange.go
@@ -0,0 +1,166 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"berylpass/attempt/id"
+	"berylpass/attempt/journey"
+	"berylpass/choice/chooser"
+	"berylpass/config/route"
+	"berylpass/config/snapshot"
+	"berylpass/decision"
+	"berylpass/hop/forwarder"
+	"berylpass/limit/enforcer"
+)
+
+// maxAttempts bounds the attempts of a repeatable request.
+const maxAttempts = 3
+
+// exchange carries out the journey of one request.
+type exchange struct {
+	ingress  *Ingress
+	began    time.Time
+	id       id.ID
+	snapshot snapshot.Snapshot
+	route    route.Route
+	caller   caller
+	request  forwarder.Request
+
+	ctx     context.Context
+	core    *journey.Journey
+	events  chan decision.Event
+	done    chan struct{}
+	timers  []*time.Timer
+	tokens  []enforcer.Token
+	target  chooser.Target
+	flights []*flight
+}
+
+// run sees the request to its end. Attempts that are still under way then settle by themselves.
+func (x *exchange) run(ctx context.Context) ended {
+	i := x.ingress
+	x.ctx = ctx
+	x.core = journey.New(x.id)
+	x.events = make(chan decision.Event, 8)
+	x.done = make(chan struct{})
+	defer x.returnTokens()
+	defer close(x.done)
+	defer x.stopTimers()
+	begin := journey.Begin{
+		Repeatable:  x.route.Repeatable,
+		Deadline:    x.began.Add(x.route.Deadline),
+		MaxAttempts: maxAttempts,
+		Hedge:       i.hedgeDelay(x.route.Name),
+	}
+	var event decision.Event = begin
+	for {
+		if end, ok := x.update(event); ok {
+			return end
+		}
+		select {
+		case event = <-x.events:
+			event = x.absorb(event)
+		case <-ctx.Done():
+			x.update(journey.CallerLeft{})
+			return ended{outcome: Unknown, reason: "caller-left", attempts: len(x.flights)}
+		}
+	}
+}
+
+// update feeds an event to the journey and carries out what follows, with the
+// events that answer at once.
+func (x *exchange) update(event decision.Event) (ended, bool) {
+	pending := []decision.Event{event}
+	var end ended
+	over := false
+	for len(pending) > 0 {
+		actions := x.core.Update(x.ingress.Clock(), pending[0])
+		pending = pending[1:]
+		for _, action := range actions {
+			if reply, ok := action.(journey.Reply); ok {
+				end, over = x.ended(reply), true
+				continue
+			}
+			if answer := x.carryOut(action); answer != nil {
+				pending = append(pending, answer)
+			}
+		}
+	}
+	return end, over
+}
+
+// carryOut does what the journey asks and returns the event that answers it at once, or nil.
+func (x *exchange) carryOut(action decision.Action) decision.Event {
+	switch a := action.(type) {
+	case journey.DrawToken:
+		return x.draw(a.Purpose)
+	case journey.ReturnToken:
+		x.giveBack(a.Count)
+	case journey.Pick:
+		return x.pick(a)
+	case journey.Dispatch:
+		x.dispatch(a)
+	case journey.Cancel:
+		x.cancel(a)
+	case journey.SetTimer:
+		x.setTimer(a)
+	}
+	return nil
+}
+
+// draw takes a token at once for the first attempt and in the background for others.
+func (x *exchange) draw(p journey.Purpose) decision.Event {
+	if p == journey.First {
+		token, event := x.drawToken()
+		x.keep(token)
+		return event
+	}
+	if !x.ingress.withdraw(x.route.Name) {
+		return journey.TokenRefused{Reason: reasonBudget}
+	}
+	go func() {
+		token, event := x.drawToken()
+		if !x.post(drawn{token: token, event: event}) && token != nil {
+			x.ingress.Limit.Return(*token)
+		}
+	}()
+	return nil
+}
+
+// drawn brings a token that was drawn in the background.
+type drawn struct {
+	token *enforcer.Token
+	event decision.Event
+}
+
+func (x *exchange) pick(p journey.Pick) decision.Event {
+	target, err := x.ingress.Chooser.Pick(x.route.Service, p.Exclude)
+	if err != nil {
+		return journey.NoneAvailable{Reason: reasonNoBackend, RetryAfter: time.Second}
+	}
+	x.target = target
+	return journey.Picked{Backend: target.Backend.ID, Guard: target.Guard.ID}
+}
+
+func (x *exchange) setTimer(a journey.SetTimer) {
+	fired := journey.TimerFired{Timer: a.Timer}
+	left := a.At.Sub(x.ingress.Clock())
+	x.timers = append(x.timers, time.AfterFunc(left, func() { _ = x.post(fired) }))
+}
+
+func (x *exchange) stopTimers() {
+	for _, t := range x.timers {
+		t.Stop()
+	}
+}
+
+// post hands an event to run and reports false if that has ended.
+func (x *exchange) post(event decision.Event) bool {
+	select {
+	case x.events <- event:
+		return true
+	case <-x.done:
+		return false
+	}
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	i := ingress.New(self, parts)
+//	i := ingress.New(self, ingress.Parts{Configuration: c, Chooser: ch, Limit: l, Hop: f, Guards: g, Observer: o})
 //	listener, err := listener.New(address, i)
 package ingress
 
@@ -15,8 +15,14 @@
 	"sync/atomic"
 	"time"
 
+	"berylpass/attempt/clock"
 	"berylpass/attempt/id"
+	"berylpass/attempt/journey"
+	"berylpass/choice/chooser"
+	"berylpass/choice/picker"
+	"berylpass/config/class"
 	"berylpass/config/key"
+	"berylpass/config/revision"
 	"berylpass/config/route"
 	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
@@ -24,97 +30,163 @@
 	"berylpass/header"
 	"berylpass/hop"
 	"berylpass/hop/forwarder"
+	"berylpass/limit/enforcer"
 )
 
-// Configuration yields the snapshot in force.
+// Configuration yields the snapshot in force. Ready returns why the daemon takes
+// no requests; an error that wraps revision.ErrIsolated allows those on open routes.
 type Configuration interface {
 	Current() snapshot.Snapshot
+	Ready(now time.Time) error
 }
 
-// Fleet knows the members and backend servers.
-type Fleet interface {
-	Pick(now time.Time, service string) (backend.Backend, member.Member, error)
+// Chooser chooses backend servers and learns how they fare.
+type Chooser interface {
+	Pick(service string, exclude []backend.ID) (chooser.Target, error)
+	Picked(attempt id.ID, target chooser.Target, of class.Class)
+	Observed(o picker.Observed)
+	Released(attempt id.ID, target chooser.Target)
+}
+
+// Limit draws tokens of organisations' limits.
+type Limit interface {
+	Draw(ctx context.Context, organisation string) (enforcer.Token, error)
+	Started(t enforcer.Token)
+	Return(t enforcer.Token)
+}
+
+// Hop sends requests to guards. Its errors wrap forwarder.ErrNotSent, ErrLost or ErrMismatch.
+type Hop interface {
+	Forward(ctx context.Context, address string, e hop.Envelope, r forwarder.Request) (forwarder.Answer, error)
+}
+
+// Record is what an Observer learns of a request that has ended.
+type Record struct {
+	Route        string
+	Organisation string
+	Outcome      Outcome
+	// Reason is empty for an answered request.
+	Reason string
+	Status int
+	// Took is the time from the request's arrival to its end.
+	Took time.Duration
+	// Deadline is that of the route.
+	Deadline time.Duration
+	Attempts int
+}
+
+// Observer learns of ended requests. Its methods must not block.
+type Observer interface {
+	Ended(now time.Time, r Record)
+	HeardRevision(revision uint64, from member.ID)
+}
+
+// Guards makes control calls to guards and knows their clocks.
+type Guards interface {
+	Heard(guard member.ID, incarnation uint64, reading int64)
+	Clock(ctx context.Context, guard member.ID) (clock.Clock, error)
+	Cancel(ctx context.Context, guard member.ID, e hop.Envelope) journey.Certainty
+}
+
+// Parts are what an ingress works with.
+type Parts struct {
+	Configuration Configuration
+	Chooser       Chooser
+	Limit         Limit
+	Hop           Hop
+	Guards        Guards
+	Observer      Observer
+	Clock         func() time.Time
 }
 
 // Ingress serves callers.
 type Ingress struct {
-	self          member.Member
-	configuration Configuration
-	fleet         Fleet
-	forwarder     *forwarder.Forwarder
-	clock         func() time.Time
-	requests      atomic.Uint64
+	Parts
+	self     member.Member
+	routes   *routeTable
+	requests atomic.Uint64
+	inFlight atomic.Int64
 }
 
 // New returns an ingress of the daemon self.
-func New(self member.Member, configuration Configuration, fleet Fleet, f *forwarder.Forwarder) *Ingress {
-	return &Ingress{self: self, configuration: configuration, fleet: fleet, forwarder: f, clock: time.Now}
+func New(self member.Member, parts Parts) *Ingress {
+	if parts.Clock == nil {
+		parts.Clock = time.Now
+	}
+	return &Ingress{Parts: parts, self: self, routes: newRouteTable()}
 }
 
+// InFlight returns the number of requests that have not ended.
+func (i *Ingress) InFlight() int { return int(i.inFlight.Load()) }
+
 // ServeHTTP serves one request of a caller.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	now := i.clock()
-	s := i.configuration.Current()
-	matched, err := s.Route(r.Method, hostname(r.Host), r.URL.Path)
+	i.inFlight.Add(1)
+	defer i.inFlight.Add(-1)
+	now := i.Clock()
+	x, err := i.admit(now, r)
 	if err != nil {
-		reply(w, refusalOf(err))
+		f := refusalOf(err)
+		i.Observer.Ended(i.Clock(), Record{
+			Route: x.route.Name, Organisation: x.caller.organisation, Outcome: f.outcome, Reason: f.reason,
+			Status: f.status, Took: i.Clock().Sub(now), Deadline: x.route.Deadline,
+		})
+		reply(w, f)
 		return
 	}
-	caller, err := authenticate(s, matched, r.Header)
+	i.finish(w, x, x.run(r.Context()))
+}
+
+// admit finds route and caller of a request and reads its body.
+func (i *Ingress) admit(now time.Time, r *http.Request) (*exchange, error) {
+	x := &exchange{ingress: i, began: now, id: id.New(i.self.ID, i.self.Incarnation, i.requests.Add(1))}
+	ready := i.Configuration.Ready(now)
+	if ready != nil && !errors.Is(ready, revision.ErrIsolated) {
+		return x, ready
+	}
+	x.snapshot = i.Configuration.Current()
+	matched, err := x.snapshot.Route(r.Method, hostname(r.Host), r.URL.Path)
 	if err != nil {
-		reply(w, refusalOf(err))
-		return
+		return x, err
 	}
-	body, err := io.ReadAll(r.Body)
+	x.route = matched
+	if ready != nil && !matched.Open {
+		return x, ready
+	}
+	x.caller, err = authenticate(x.snapshot, matched, r.Header)
 	if err != nil {
-		return
+		return x, err
 	}
-	target, guard, err := i.fleet.Pick(now, matched.Service)
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		reply(w, refusal{status: http.StatusServiceUnavailable, outcome: NotRun, reason: "no-backend"})
-		return
+		return x, errBody
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), matched.Deadline)
-	defer cancel()
-	envelope := i.envelope(s, matched, caller, target, guard)
-	answer, err := i.forwarder.Forward(ctx, guard.Data, envelope, forwarder.Request{
+	x.request = forwarder.Request{
 		Method: r.Method,
 		Target: r.URL.RequestURI(),
 		Host:   r.Host,
 		Header: header.FromCaller(r.Header),
 		Body:   body,
-	})
-	i.finish(w, envelope, answer, err)
-}
-
-func (i *Ingress) envelope(s snapshot.Snapshot, matched route.Route, c caller, target backend.Backend, guard member.Member) hop.Envelope {
-	return hop.Envelope{
-		Attempt:      id.New(i.self.ID, i.self.Incarnation, i.requests.Add(1)),
-		Backend:      target.ID,
-		Incarnation:  guard.Incarnation,
-		Expires:      1 << 50,
-		Organisation: c.organisation,
-		KeyID:        c.keyID,
-		Route:        matched.Name,
-		Class:        matched.Class,
-		Revision:     s.Revision,
 	}
+	return x, nil
 }
 
-func (i *Ingress) finish(w http.ResponseWriter, e hop.Envelope, answer forwarder.Answer, err error) {
-	attempt := e.Attempt.String()
-	switch {
-	case errors.Is(err, forwarder.ErrNotSent):
-		reply(w, refusal{status: http.StatusServiceUnavailable, outcome: NotRun, reason: "guard-unreachable", attempt: attempt})
-	case err != nil:
-		reply(w, refusal{status: http.StatusGatewayTimeout, outcome: Unknown, reason: "answer-lost", attempt: attempt})
-	case answer.Report.Ending == hop.NotRun:
-		reply(w, refusal{status: http.StatusServiceUnavailable, outcome: NotRun, reason: answer.Report.Reason, attempt: attempt})
-	case answer.Report.Ending == hop.Unknown:
-		reply(w, refusal{status: http.StatusBadGateway, outcome: Unknown, reason: answer.Report.Reason, attempt: attempt})
-	default:
-		pass(w, answer, attempt)
+func (i *Ingress) finish(w http.ResponseWriter, x *exchange, end ended) {
+	i.Observer.Ended(i.Clock(), Record{
+		Route:        x.route.Name,
+		Organisation: x.caller.organisation,
+		Outcome:      end.outcome,
+		Reason:       end.reason,
+		Status:       end.status,
+		Took:         i.Clock().Sub(x.began),
+		Deadline:     x.route.Deadline,
+		Attempts:     end.attempts,
+	})
+	if end.outcome == Answered {
+		pass(w, end.answer, end.attempt.String())
+		return
 	}
+	reply(w, end.refusal())
 }
 
 // caller is who a request runs for.
--- a/ingress/key.go
+++ b/ingress/key.go
@@ -9,10 +9,14 @@
 	"berylpass/header"
 )
 
+// ErrNotReady is wrapped by the reasons for which a daemon takes no requests.
+var ErrNotReady = errors.New("daemon takes no requests")
+
 var (
 	errNoKey      = errors.New("no key came with the request")
 	errUnknownKey = errors.New("the key is not in force")
 	errTwoKeys    = errors.New("more than one key came with the request")
+	errBody       = errors.New("the request's body could not be read")
 )
 
 const bearer = "Bearer "
--- a/ingress/reply.go
+++ b/ingress/reply.go
@@ -8,7 +8,10 @@
 	"strconv"
 	"time"
 
+	"berylpass/attempt/id"
+	"berylpass/attempt/journey"
 	"berylpass/config/snapshot"
+	"berylpass/guard"
 	"berylpass/header"
 	"berylpass/hop/forwarder"
 )
@@ -32,6 +35,63 @@
 	AttemptHeader = "Berylpass-Attempt"
 )
 
+// The reasons of refusals, besides those of guards and journeys.
+const (
+	reasonOverLimit = "over-limit"
+	reasonNoLease   = "no-lease"
+	reasonNoBackend = "no-backend"
+	reasonBudget    = "retry-budget-empty"
+)
+
+// ended is how a request ended.
+type ended struct {
+	outcome    Outcome
+	reason     string
+	status     int
+	retryAfter time.Duration
+	attempt    id.ID
+	attempts   int
+	answer     forwarder.Answer
+}
+
+// ended maps the end of a journey to what the caller is told.
+func (x *exchange) ended(r journey.Reply) ended {
+	end := ended{
+		outcome:    Outcome(r.Outcome),
+		reason:     r.Reason,
+		status:     statusOf(r),
+		retryAfter: r.RetryAfter,
+		attempt:    x.id,
+		attempts:   len(x.flights),
+	}
+	if r.Outcome == journey.AnsweredOutcome {
+		f := x.flights[r.Attempt.Attempt]
+		end.answer, end.attempt, end.status = f.answer, r.Attempt, f.answer.Status
+	}
+	return end
+}
+
+func statusOf(r journey.Reply) int {
+	switch {
+	case r.Outcome == journey.NotRunOutcome && r.Reason == reasonOverLimit:
+		return http.StatusTooManyRequests
+	case r.Outcome == journey.NotRunOutcome && r.Reason == guard.ReasonKeyWithdrawn:
+		return http.StatusUnauthorized
+	case r.Outcome == journey.NotRunOutcome:
+		return http.StatusServiceUnavailable
+	case r.Reason == journey.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+func (e ended) refusal() refusal {
+	return refusal{
+		status: e.status, outcome: e.outcome, reason: e.reason,
+		attempt: e.attempt.String(), retryAfter: e.retryAfter,
+	}
+}
+
 // refusal is an answer of berylpass's own.
 type refusal struct {
 	status     int
@@ -61,6 +121,8 @@
 		{errNoKey, http.StatusUnauthorized, "no-key"},
 		{errUnknownKey, http.StatusUnauthorized, "unknown-key"},
 		{errTwoKeys, http.StatusBadRequest, "two-keys"},
+		{errBody, http.StatusBadRequest, "body-unreadable"},
+		{ErrNotReady, http.StatusServiceUnavailable, "not-ready"},
 	} {
 		if errors.Is(err, known.err) {
 			f.status, f.reason = known.status, known.reason
@@ -101,3 +163,13 @@
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
 }
+
+// Refuse returns headers and body of a refusal before a request reached the
+// ingress; it has the form that listener.WithRefusal wants.
+func Refuse(_ int, reason string) (http.Header, []byte) {
+	body, _ := json.Marshal(refusalBody{Outcome: NotRun, Reason: reason})
+	h := http.Header{}
+	h.Set(OutcomeHeader, string(NotRun))
+	h.Set("Content-Type", "application/json")
+	return h, append(body, '\n')
+}
--- /dev/null
+++ b/operate/localfleet/localfleet.go
@@ -0,0 +1,264 @@
+// Package localfleet runs a whole fleet in one process on loopback: a stand-in of
+// the platform, real daemons over real sockets, and emulated backend servers.
+// Demonstrations, load runs and tests of the whole use it.
+//
+// # Usage
+//
+//	f, err := localfleet.New(localfleet.WithLogger(logger))
+//	defer f.Close()
+//	d, err := f.StartDaemon("vm-1", "srem")
+//	b, err := f.StartBackend("vm-1", "rounds-1", "rounds", emulator.WithSlots(4))
+//	err = f.Publish(ctx, snapshot)
+//	err = f.Await(ctx, revision)
+package localfleet
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"berylpass/config/archive"
+	"berylpass/config/manifest"
+	"berylpass/config/settings"
+	"berylpass/config/signature"
+	"berylpass/config/snapshot"
+	"berylpass/daemon"
+	"berylpass/emulator"
+	"berylpass/emulator/announcer"
+	"berylpass/platform/client"
+	"berylpass/platform/standin"
+)
+
+const (
+	secret       = "secret-of-a-local-fleet"
+	anyPort      = "127.0.0.1:0"
+	storeTimeout = time.Second
+	pollInterval = 20 * time.Millisecond
+	maxBody      = 16 << 20
+	maxHeader    = 64 << 10
+	connections  = 4096
+)
+
+// ErrUnknown reports a daemon or backend server that the fleet doesn't have.
+var ErrUnknown = errors.New("not in the local fleet")
+
+// Backend is an emulated backend server and its announcer.
+type Backend struct {
+	*emulator.Emulator
+	Announcer *announcer.Announcer
+}
+
+// LocalFleet is a running fleet. Its methods may be called from several goroutines.
+type LocalFleet struct {
+	platform *standin.StandIn
+	owners   map[string]ed25519.PrivateKey
+	verifier *signature.Verifier
+	archive  *archive.Archive
+	logger   zerolog.Logger
+
+	mu       sync.Mutex
+	daemons  map[string]*daemon.Daemon
+	backends map[string]*Backend
+}
+
+// Option changes how a fleet is set up.
+type Option func(*LocalFleet)
+
+// WithLogger sets where daemons log; nowhere by default.
+func WithLogger(logger zerolog.Logger) Option { return func(f *LocalFleet) { f.logger = logger } }
+
+// New starts a platform stand-in and no daemons.
+func New(options ...Option) (*LocalFleet, error) {
+	platform, err := standin.New(anyPort)
+	if err != nil {
+		return nil, err
+	}
+	f := &LocalFleet{
+		platform: platform,
+		owners:   map[string]ed25519.PrivateKey{},
+		logger:   zerolog.Nop(),
+		daemons:  map[string]*daemon.Daemon{},
+		backends: map[string]*Backend{},
+	}
+	for _, option := range options {
+		option(f)
+	}
+	public := map[string]ed25519.PublicKey{}
+	for _, name := range []string{"ola", "marek"} {
+		p, private, err := ed25519.GenerateKey(rand.Reader)
+		if err != nil {
+			return nil, err
+		}
+		f.owners[name], public[name] = private, p
+	}
+	f.verifier = signature.NewVerifier(public)
+	f.archive = archive.New(client.New("http://"+platform.Address(), client.WithTimeout(storeTimeout)), f.verifier)
+	return f, nil
+}
+
+// Platform returns the stand-in of the platform.
+func (f *LocalFleet) Platform() *standin.StandIn { return f.platform }
+
+// StartDaemon starts a daemon. Daemons that run already serve as its seeds.
+func (f *LocalFleet) StartDaemon(id, datacentre string) (*daemon.Daemon, error) {
+	d, err := daemon.New(f.settings(id, datacentre), f.logger.With().Str("daemon", id).Logger())
+	if err != nil {
+		return nil, fmt.Errorf("start daemon %s: %w", id, err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.daemons[id] = d
+	return d, nil
+}
+
+// StopDaemon shuts a daemon down gracefully.
+func (f *LocalFleet) StopDaemon(ctx context.Context, id string) error {
+	f.mu.Lock()
+	d, ok := f.daemons[id]
+	delete(f.daemons, id)
+	f.mu.Unlock()
+	if !ok {
+		return fmt.Errorf("%w: %s", ErrUnknown, id)
+	}
+	return d.Shutdown(ctx)
+}
+
+// KillDaemon ends a daemon at once, as a crash does.
+func (f *LocalFleet) KillDaemon(id string) error {
+	f.mu.Lock()
+	d, ok := f.daemons[id]
+	delete(f.daemons, id)
+	f.mu.Unlock()
+	if !ok {
+		return fmt.Errorf("%w: %s", ErrUnknown, id)
+	}
+	d.Close()
+	return nil
+}
+
+// StartBackend starts an emulated backend server beside a daemon.
+func (f *LocalFleet) StartBackend(daemonID, id, service string, options ...emulator.Option) (*Backend, error) {
+	f.mu.Lock()
+	d, ok := f.daemons[daemonID]
+	f.mu.Unlock()
+	if !ok {
+		return nil, fmt.Errorf("%w: %s", ErrUnknown, daemonID)
+	}
+	e, err := emulator.New(anyPort, options...)
+	if err != nil {
+		return nil, err
+	}
+	b := &Backend{Emulator: e, Announcer: announcer.New("http://"+d.Addresses().Backends, id, announcer.Server{
+		Service: service, Address: e.Address(), Slots: e.Slots(), Incarnation: 1,
+	})}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backends[id] = b
+	return b, nil
+}
+
+// Publish signs a snapshot by both owners and publishes it on the revision in force.
+func (f *LocalFleet) Publish(ctx context.Context, s snapshot.Snapshot) error {
+	head, err := f.archive.Head(ctx)
+	if err != nil {
+		return err
+	}
+	const note = "published by a local fleet"
+	m, chunks, err := manifest.New(s, head.Base(), []byte(note))
+	if err != nil {
+		return err
+	}
+	envelope := signature.NewEnvelope(m.Encode())
+	for name, private := range f.owners {
+		envelope = envelope.With(signature.Sign(name, private, m.Digest()))
+	}
+	return f.archive.Publish(ctx, head, archive.Revision{Envelope: envelope, Chunks: chunks, Note: []byte(note)})
+}
+
+// Daemons returns the running daemons by ID.
+func (f *LocalFleet) Daemons() map[string]*daemon.Daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]*daemon.Daemon, len(f.daemons))
+	for id, d := range f.daemons {
+		out[id] = d
+	}
+	return out
+}
+
+// Await waits until all daemons are ready and have the revision in force, and
+// know all backend servers. Its error is that of ctx.
+func (f *LocalFleet) Await(ctx context.Context, revision uint64) error {
+	return f.AwaitThat(ctx, func(d *daemon.Daemon) bool {
+		s := d.Status()
+		return s.Ready == "ready" && s.Revision >= revision && len(s.Backends) == f.backendCount()
+	})
+}
+
+// AwaitThat waits until the condition holds for all daemons.
+func (f *LocalFleet) AwaitThat(ctx context.Context, holds func(d *daemon.Daemon) bool) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		all := true
+		for _, d := range f.Daemons() {
+			all = all && holds(d)
+		}
+		if all {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Close ends everything at once.
+func (f *LocalFleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, b := range f.backends {
+		b.Announcer.Close()
+		b.Close()
+	}
+	for _, d := range f.daemons {
+		d.Close()
+	}
+	f.platform.Close()
+}
+
+func (f *LocalFleet) backendCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.backends)
+}
+
+func (f *LocalFleet) settings(id, datacentre string) settings.Settings {
+	s := settings.Settings{
+		Daemon:   settings.Daemon{ID: id, Datacentre: datacentre, Region: "local"},
+		Listen:   settings.Listen{Callers: anyPort, Control: anyPort, Data: anyPort, Backends: anyPort, Operators: anyPort},
+		Mesh:     settings.Mesh{Secret: secret},
+		Platform: settings.Platform{URL: "http://" + f.platform.Address(), Timeout: storeTimeout},
+		Owners:   map[string]ed25519.PublicKey{},
+		Limits: settings.Limits{
+			MaxBody: maxBody, MaxHeader: maxHeader, QueuePerBackend: 100, QueuePerOrganisation: 20,
+			CallerConnections: connections,
+		},
+		Shutdown: settings.Shutdown{Grace: 10 * time.Second},
+	}
+	for name, private := range f.owners {
+		s.Owners[name] = private.Public().(ed25519.PublicKey)
+	}
+	for _, d := range f.Daemons() {
+		s.Mesh.Seeds = append(s.Mesh.Seeds, d.Addresses().Control)
+	}
+	return s
+}
--- /dev/null
+++ b/operate/process/load.go
@@ -0,0 +1,136 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"berylpass/config/datacentre"
+	"berylpass/config/key"
+	"berylpass/config/organisation"
+	"berylpass/config/route"
+	"berylpass/config/service"
+	"berylpass/config/snapshot"
+	"berylpass/emulator"
+	"berylpass/operate/load"
+	"berylpass/operate/localfleet"
+)
+
+// errPlanOrSelf reports a load command without, or with both, a plan and --self.
+var errPlanOrSelf = errors.New("load: want either a plan FILE or --self")
+
+// runLoad sends load.
+type runLoad struct {
+	world
+	Format        string        `long:"format" choice:"text" choice:"json" default:"text" description:"format of the output"`
+	Self          bool          `long:"self" description:"start a fleet in this process and measure it beside direct calls"`
+	Rate          float64       `long:"rate" default:"125" description:"with --self: requests a second"`
+	Duration      time.Duration `long:"duration" default:"10s" description:"with --self: length of the run"`
+	Daemons       int           `long:"daemons" default:"2" description:"with --self: number of daemons"`
+	Backends      int           `long:"backends" default:"8" description:"with --self: number of backend servers"`
+	Slots         int           `long:"slots" default:"64" description:"with --self: requests at once on a backend server"`
+	ServiceTime   time.Duration `long:"service-time" default:"5ms" description:"with --self: median time that a request takes"`
+	Organisations int           `long:"organisations" default:"8" description:"with --self: number of organisations"`
+	Body          int           `long:"body" default:"0" description:"with --self: bytes of each request's body"`
+	Arguments     struct {
+		File string `positional-arg-name:"FILE" description:"load plan, in INI"`
+	} `positional-args:"yes"`
+}
+
+// Execute runs the command.
+func (c *runLoad) Execute([]string) error {
+	if c.Self == (c.Arguments.File != "") {
+		return errPlanOrSelf
+	}
+	if c.Self {
+		return c.measureSelf(c.root.Context())
+	}
+	text, err := os.ReadFile(c.Arguments.File)
+	if err != nil {
+		return err
+	}
+	plan, err := load.ParsePlan(c.Arguments.File, text)
+	if err != nil {
+		return err
+	}
+	return c.measure(c.root.Context(), plan)
+}
+
+func (c *runLoad) measure(ctx context.Context, plan load.Plan) error {
+	result, err := load.New(plan).Run(ctx)
+	if err != nil {
+		return err
+	}
+	if c.Format == "json" {
+		return result.WriteJSON(c.stdout)
+	}
+	return result.WriteTable(c.stdout)
+}
+
+func (c *runLoad) measureSelf(ctx context.Context) error {
+	f, err := localfleet.New()
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	plan, err := c.startSelf(ctx, f)
+	if err != nil {
+		return err
+	}
+	return c.measure(ctx, plan)
+}
+
+// startSelf starts the fleet and returns the plan that measures it. The backend
+// servers that are called directly are of the same kind, and apart from the
+// fleet's, so that the two loads do not share slots.
+func (c *runLoad) startSelf(ctx context.Context, f *localfleet.LocalFleet) (load.Plan, error) {
+	plan := load.Plan{
+		Rate: c.Rate, Duration: c.Duration, Timeout: 10 * time.Second, Outstanding: 8192, Seed: 1,
+		Routes: []load.Route{{Name: "lookups", Method: "GET", Path: "/fields", Weight: 1, Body: c.Body}},
+	}
+	for n := range c.Daemons {
+		d, err := f.StartDaemon(fmt.Sprintf("vm-%d", n+1), fmt.Sprintf("dc-%d", n%2+1))
+		if err != nil {
+			return plan, err
+		}
+		plan.Targets = append(plan.Targets, "http://"+d.Addresses().Callers)
+	}
+	options := []emulator.Option{emulator.WithSlots(c.Slots), emulator.WithServiceTime(c.ServiceTime)}
+	for n := range c.Backends {
+		if _, err := f.StartBackend(fmt.Sprintf("vm-%d", n%c.Daemons+1), fmt.Sprintf("rounds-%d", n+1), "rounds", options...); err != nil {
+			return plan, err
+		}
+		e, err := emulator.New("127.0.0.1:0", options...)
+		if err != nil {
+			return plan, err
+		}
+		plan.Direct = append(plan.Direct, "http://"+e.Address())
+	}
+	s := c.selfSnapshot(&plan)
+	if err := f.Publish(ctx, s); err != nil {
+		return plan, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
+	return plan, f.Await(ctx, s.Revision)
+}
+
+// selfSnapshot gives each organisation twice its share of the rate.
+func (c *runLoad) selfSnapshot(plan *load.Plan) snapshot.Snapshot {
+	s := snapshot.New(1).
+		WithDatacentre(datacentre.New("dc-1", "local")).
+		WithDatacentre(datacentre.New("dc-2", "local")).
+		WithService(service.New("rounds").WithRamp(time.Second)).
+		WithRoute(route.New("lookups", "rounds").WithMatch("", "/fields").WithRepeatable(true))
+	share := 2 * c.Rate / float64(c.Organisations)
+	for n := range c.Organisations {
+		name := fmt.Sprintf("organisation-%d", n+1)
+		secret := strings.Repeat("k", 16) + name
+		plan.Organisations = append(plan.Organisations, load.Organisation{Name: name, Key: secret, Weight: 1})
+		s = s.WithOrganisation(organisation.New(name).WithLimit(share, max(10, int(share))).WithKey(key.New("k1", key.Sum(secret))))
+	}
+	return s.Index()
+}
--- /dev/null
+++ b/operate/process/status.go
@@ -0,0 +1,35 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"berylpass/operate/status"
+)
+
+const statusTimeout = 5 * time.Second
+
+// showStatus prints the status of a daemon.
+type showStatus struct {
+	world
+	Format    string `long:"format" choice:"text" choice:"json" default:"text" description:"format of the output"`
+	Arguments struct {
+		URL string `positional-arg-name:"URL" description:"operators' port of a daemon, such as http://10.0.0.17:7004"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute runs the command.
+func (c *showStatus) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(c.root.Context(), statusTimeout)
+	defer cancel()
+	s, err := status.Fetch(ctx, strings.TrimSuffix(c.Arguments.URL, "/"))
+	if err != nil {
+		return err
+	}
+	if c.Format == "json" {
+		return json.NewEncoder(c.stdout).Encode(s)
+	}
+	return s.WriteTable(c.stdout)
+}
