--- a/config/note/apply.go
+++ b/config/note/apply.go
@@ -23,11 +23,16 @@
 		Datacentres:   maps.Clone(base.Datacentres),
 	}
 	var found mistake.List
+	var applied []Change
 	for _, c := range n.Changes {
-		found = append(found, editors[c.Kind].apply(c, n.File, next)...)
+		mistakes := editors[c.Kind].apply(c, n.File, next)
+		if len(mistakes) == 0 {
+			applied = append(applied, c)
+		}
+		found = append(found, mistakes...)
 	}
 	for _, v := range rules.Check(next) {
-		found = append(found, n.locate(v))
+		found = append(found, locate(n.File, applied, v))
 	}
 	if len(found) > 0 {
 		return snapshot.Snapshot{}, found
@@ -35,17 +40,17 @@
 	return next.Index(), nil
 }
 
-// locate turns a broken rule into a mistake in the section that names the item,
-// or in none if the item is one of the base revision.
-func (n Note) locate(v rules.Violation) mistake.Mistake {
-	for _, c := range n.Changes {
+// locate turns a broken rule into a mistake in the section that changed the item,
+// or in none if the item is as it was in the base revision.
+func locate(file string, applied []Change, v rules.Violation) mistake.Mistake {
+	for _, c := range applied {
 		if c.Kind == v.Kind && c.Name == v.Name {
-			return mistake.Mistake{File: n.File, Section: c.section(), Key: v.Key, Text: v.Text}
+			return mistake.Mistake{File: file, Section: c.section(), Key: v.Key, Text: v.Text}
 		}
 	}
 	text := v.Text
 	if v.Name != "" {
 		text = fmt.Sprintf("%s %q of the base revision: %s", v.Kind, v.Name, v.Text)
 	}
-	return mistake.Mistake{File: n.File, Text: text}
+	return mistake.Mistake{File: file, Text: text}
 }
--- a/operate/command/command_test.go
+++ b/operate/command/command_test.go
@@ -39,16 +39,17 @@
 	store  *memory.Memory
 	random stream
 	public []string
+	backup memory.Backup
 }
 
 func statuses(_ context.Context, url string) (status.Status, error) {
 	if url != "http://vm-1:7004" {
 		return status.Status{}, fmt.Errorf("%w: no answer", status.ErrUnreadable)
 	}
-	return status.Status{Daemon: "vm-1", Revision: 3, Members: []status.Member{
-		{ID: "vm-1", Revision: 2, State: "serving"},
-		{ID: "vm-2", Revision: 3, State: "serving"},
-		{ID: "vm-3", Revision: 2, State: "suspect"},
+	return status.Status{Daemon: "vm-1", Revision: 4, Members: []status.Member{
+		{ID: "vm-1", Revision: 3, State: "serving"},
+		{ID: "vm-2", Revision: 4, State: "serving"},
+		{ID: "vm-3", Revision: 3, State: "suspect"},
 		{ID: "vm-4", Revision: 1, State: "dead"},
 	}}, nil
 }
@@ -103,6 +104,10 @@
 			s.t.Fatal(err)
 		}
 		s.write(args[1], text)
+	case "backup":
+		s.backup = s.store.Backup()
+	case "restore":
+		s.store.Restore(s.backup)
 	case "away":
 		s.store.SetFaults(memory.Faults{Away: true})
 	default:
