Publish the examples over HTTP and harden the burn report

The examples' notes are now published through the platform's client and its stand-in, with the first three answers of each publication lost.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -7,14 +7,20 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"berylpass/config/archive"
 	"berylpass/config/settings"
 	"berylpass/config/signature"
 	"berylpass/operate/command"
+	"berylpass/platform/client"
 	"berylpass/platform/memory"
+	"berylpass/platform/standin"
 )
 
+// lostAnswers is the number of writes of each publication whose answers are lost.
+const lostAnswers = 3
+
 var deployments = []struct {
 	folder, owner, other string
 	organisations        int
@@ -54,13 +60,21 @@
 	}
 }
 
+// Over HTTP, with the first answers of each publication lost.
 func TestNotesAreSignedAndPublished(t *testing.T) {
 	for _, d := range deployments {
 		folder, err := filepath.Abs(d.folder)
 		if err != nil {
 			t.Fatal(err)
 		}
-		work, store := t.TempDir(), memory.New()
+		platform, err := standin.New("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer platform.Close()
+		store := client.New("http://"+platform.Address(), client.WithSeed(1), client.WithBackoff(time.Millisecond))
+		defer store.Close()
+		work := t.TempDir()
 		if err := os.CopyFS(work, os.DirFS(folder)); err != nil {
 			t.Fatal(err)
 		}
@@ -70,6 +84,7 @@
 			for _, owner := range []string{d.owner, d.other} {
 				run(t, store, "note", "sign", "-s", settings, "--owner", owner, "--key", fmt.Sprintf("%s/%s.key", work, owner), file)
 			}
+			platform.Store().SetFaults(memory.Faults{LoseAnswers: lostAnswers})
 			run(t, store, "note", "publish", "-s", settings, file)
 		}
 		checkPublished(t, store, settings, uint64(len(notes)), d.organisations)
--- a/operate/burn/page/page_test.go
+++ b/operate/burn/page/page_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"flag"
+	"io"
 	"os"
 	"regexp"
 	"strings"
@@ -61,3 +62,25 @@
 		t.Errorf("the page holds %q", found)
 	}
 }
+
+func FuzzWrite(f *testing.F) {
+	text, err := os.ReadFile("../testdata/morning.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Add([]byte(`{"taken":"2026-01-01T00:00:00Z","routes":[{"name":"a","timeline":[{"start":"0001-01-01T00:00:00Z","good":1},{"start":"9999-01-01T00:00:00Z","bad":1}]}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := burn.Parse(bytes.NewReader(text))
+		if err != nil {
+			return
+		}
+		r := report.New(burn.Merge(s, s))
+		if err := r.WriteText(io.Discard, 10); err != nil {
+			t.Error(err)
+		}
+		if err := Write(io.Discard, r); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/operate/burn/page/plot.go
+++ b/operate/burn/page/plot.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"html/template"
 	"image/color"
+	"math"
 	"slices"
 	"time"
 
@@ -27,6 +28,7 @@
 	// maxBars and maxLines bound what one plot shows.
 	maxBars  = 10
 	maxLines = 7
+	maxTicks = 12
 	// headroom is the height of the axis over that of the greatest value.
 	headroom = 1.1
 )
@@ -104,12 +106,16 @@
 	return p, nil
 }
 
-// hourTicks marks the whole hours, in UTC.
+// hourTicks marks whole hours, in UTC, at most maxTicks of them.
 func hourTicks(low, high float64) []plot.Tick {
+	const hour = 3600
+	step := hour * math.Ceil(max(high-low, 1)/(maxTicks*hour))
 	var ticks []plot.Tick
-	first := time.Unix(int64(low), 0).UTC().Truncate(time.Hour).Add(time.Hour)
-	for t := first; float64(t.Unix()) <= high; t = t.Add(time.Hour) {
-		ticks = append(ticks, plot.Tick{Value: float64(t.Unix()), Label: t.Format("15:04")})
+	for i := range maxTicks + 1 {
+		at := (math.Ceil(low/step) + float64(i)) * step
+		if at <= high {
+			ticks = append(ticks, plot.Tick{Value: at, Label: time.Unix(int64(at), 0).UTC().Format("15:04")})
+		}
 	}
 	return ticks
 }
--- a/operate/burn/recorder_test.go
+++ b/operate/burn/recorder_test.go
@@ -162,6 +162,16 @@
 	}
 }
 
+func TestClockThatGoesBack(t *testing.T) {
+	r := New(start)
+	for _, now := range []time.Time{start, start.Add(-48 * time.Hour), {}} {
+		r.Record(now, Sample{Route: "a", Outcome: InTime})
+	}
+	if got := r.Snapshot(start.Add(time.Minute)).Series[0].SixHours.Good; got != 3 {
+		t.Errorf("%g requests in six hours, want 3", got)
+	}
+}
+
 func TestParseRefusesOtherBytes(t *testing.T) {
 	for _, text := range []string{"", "{}", "[]", `{"taken":"2026-01-01T00:00:00Z","since":"2027-01-01T00:00:00Z"}`, strings.Repeat(" ", maxSnapshot+1)} {
 		if _, err := Parse(strings.NewReader(text)); !errors.Is(err, ErrMalformed) {
--- a/operate/burn/series.go
+++ b/operate/burn/series.go
@@ -24,10 +24,14 @@
 	last int64
 }
 
-func slotOf(now time.Time, width time.Duration) int64 { return now.UnixNano() / int64(width) }
+// slotOf returns the number of the slot that holds now, 0 before the epoch.
+func slotOf(now time.Time, width time.Duration) int64 {
+	return max(0, now.UnixNano()/int64(width))
+}
 
 func (r *ring) add(now time.Time, width time.Duration, good bool) {
-	number := slotOf(now, width)
+	// A clock that went back counts into the latest slot.
+	number := max(slotOf(now, width), r.last)
 	r.advance(number)
 	s := &r.slots[number%ringSlots]
 	if good {
@@ -111,7 +115,7 @@
 	if s.Outcome == InTime || s.Outcome == Late {
 		r.latency.add(s.Latency)
 	}
-	number := slotOf(now, fastSlot)
+	number := max(slotOf(now, fastSlot), r.last)
 	if number-r.last >= timelineSlots {
 		r.timeline = [timelineSlots]point{}
 		r.last = number
