--- a/limit/borrower/borrower.go
+++ b/limit/borrower/borrower.go
@@ -136,6 +136,26 @@
 	}
 }
 
+// Next returns the time until a refilling grant has its next token, if the daemon holds one.
+func (b *Borrower) Next(now time.Time, organisation string) (time.Duration, bool) {
+	next, ok := time.Duration(0), false
+	for i := range b.account(now, organisation).held {
+		h := &b.accounts[organisation].held[i]
+		left := h.ends.Sub(now)
+		if h.closed || h.bucket.Rate <= 0 || left <= 0 {
+			continue
+		}
+		wait := h.bucket.Next(left)
+		if room := h.bucket.Capacity - float64(len(h.drawn)); room < 1 && len(h.drawn) > 0 {
+			wait = h.drawn[0].Sub(now)
+		}
+		if wait = max(wait, time.Millisecond); !ok || wait < next {
+			next, ok = wait, true
+		}
+	}
+	return next, ok
+}
+
 // Settle tells that a token's run has begun, or that it certainly never will. It must be
 // called before the token lapses to have an effect.
 func (b *Borrower) Settle(now time.Time, t Token, ran bool) {
--- a/limit/bucket/bucket.go
+++ b/limit/bucket/bucket.go
@@ -84,7 +84,7 @@
 	if b.Rate*limit.Seconds() <= missing {
 		return limit
 	}
-	return time.Duration(missing / (b.Rate * (1 - term.Drift)) * float64(time.Second))
+	return time.Duration(missing/(b.Rate*(1-term.Drift))*float64(time.Second)) + time.Microsecond
 }
 
 // Skip lets the time up to now pass without refill.
--- a/limit/limiter/draw.go
+++ b/limit/limiter/draw.go
@@ -82,6 +82,10 @@
 	if until := l.borrower.RefusedUntil(organisation); now.Before(until) {
 		return borrower.Token{}, OverLimit, until.Sub(now)
 	}
+	if next, ok := l.borrower.Next(now, organisation); ok {
+		l.extend(now, organisation)
+		return borrower.Token{}, OverLimit, next
+	}
 	shard := allotment.Shard(organisation)
 	if until := l.routes[shard].lostUntil; now.Before(until) {
 		return borrower.Token{}, NoLease, until.Sub(now)
