--- a/choice/floor/floor_test.go
+++ b/choice/floor/floor_test.go
@@ -14,10 +14,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		flag.Set("rapid.seed", "11")
+	defaults := map[string]string{"rapid.seed": "11", "rapid.checks": "1000", "rapid.nofailfile": "true"}
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		flag.Set(name, value)
 	}
 	os.Exit(m.Run())
 }
@@ -26,7 +26,7 @@
 // the share is reached, and nothing is kept beyond need or out of order.
 func TestKeep(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		share := rapid.OneOf(rapid.Float64Range(0, 1), rapid.SampledFrom([]float64{0, 1})).Draw(t, "share")
 		var all []floor.Candidate
 		for i := range rapid.IntRange(0, 12).Draw(t, "count") {
 			all = append(all, floor.Candidate{
--- a/choice/gate/gate_test.go
+++ b/choice/gate/gate_test.go
@@ -21,10 +21,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		flag.Set("rapid.seed", "13")
+	defaults := map[string]string{"rapid.seed": "13", "rapid.checks": "1000", "rapid.nofailfile": "true"}
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		flag.Set(name, value)
 	}
 	os.Exit(m.Run())
 }
@@ -124,10 +124,16 @@
 		o.g.Update(o.now, gate.ServiceSeen{Service: service.New("rounds").WithRamp(o.ramp)})
 		name := rapid.SampledFrom([]backend.ID{"r-0", "r-1"})
 		t.Repeat(map[string]func(*rapid.T){
-			"see":      func(t *rapid.T) { o.see(t, name.Draw(t, "backend")) },
-			"lose":     func(t *rapid.T) { o.lose(t, name.Draw(t, "backend")) },
-			"arrive":   func(t *rapid.T) { o.arrive(t, name.Draw(t, "backend")) },
-			"arrive2":  func(t *rapid.T) { o.arrive(t, name.Draw(t, "backend")) },
+			"see":     func(t *rapid.T) { o.see(t, name.Draw(t, "backend")) },
+			"lose":    func(t *rapid.T) { o.lose(t, name.Draw(t, "backend")) },
+			"arrive":  func(t *rapid.T) { o.arrive(t, name.Draw(t, "backend")) },
+			"arrive2": func(t *rapid.T) { o.arrive(t, name.Draw(t, "backend")) },
+			"burst": func(t *rapid.T) {
+				n := name.Draw(t, "backend")
+				for i := range 60 {
+					o.arriveAs(t, n, fmt.Sprint(i%rapid.IntRange(1, 5).Draw(t, "organisations")), class.Transfer, 4000)
+				}
+			},
 			"finish":   o.finish,
 			"withdraw": o.withdraw,
 			"load": func(t *rapid.T) {
@@ -139,6 +145,12 @@
 					o.apply(t, gate.Tick{})
 				}
 			},
+			"rest": func(t *rapid.T) {
+				for range 12 {
+					o.now = o.now.Add(time.Second)
+					o.apply(t, gate.Tick{})
+				}
+			},
 			"": o.settle,
 		})
 	})
@@ -166,11 +178,15 @@
 }
 
 func (o *oracle) arrive(t *rapid.T, n backend.ID) {
+	o.arriveAs(t, n, fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "organisation")),
+		class.Class(rapid.IntRange(0, 2).Draw(t, "class")), rapid.IntRange(-100, 4000).Draw(t, "expires"))
+}
+
+// arriveAs sends a request that expires after so many milliseconds, twice if it waits or runs.
+func (o *oracle) arriveAs(t *rapid.T, n backend.ID, organisation string, c class.Class, expires int) {
 	attempt := id.New("vm", 1, uint64(len(o.order)))
-	e := gate.Arrive{ID: attempt, Backend: n,
-		Organisation: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "organisation")),
-		Class:        class.Class(rapid.IntRange(0, 2).Draw(t, "class")),
-		Expires:      o.now.Add(time.Duration(rapid.IntRange(-100, 4000).Draw(t, "expires")) * time.Millisecond)}
+	e := gate.Arrive{ID: attempt, Backend: n, Organisation: organisation, Class: c,
+		Expires: o.now.Add(time.Duration(expires) * time.Millisecond)}
 	o.requests[attempt] = &request{event: e}
 	o.order = append(o.order, attempt)
 	o.apply(t, e)
--- a/choice/picker/judge.go
+++ b/choice/picker/judge.go
@@ -27,6 +27,9 @@
 	// risingEvidence is the evidence of slowness or errors, in nats, from which
 	// the time of confirmation runs.
 	risingEvidence = 5
+	// upperShare is the quantile of the peers' evidence of slowness that counts
+	// less: when more than a third of them are slow too, the cause is common.
+	upperShare = 0.7
 	// failingEvidence is the evidence of errors, in nats, that makes an outlier.
 	failingEvidence = 12
 	// failingPeers is the evidence of errors at the median peer from which errors are common to all.
@@ -145,7 +148,7 @@
 	switch {
 	case s.report.Errors-median(without(b.errors, s.report.Errors)) >= risingEvidence:
 		return Failing
-	case s.report.Slowness-median(without(b.slowness, s.report.Slowness)) >= risingEvidence:
+	case s.report.Slowness-upper(without(b.slowness, s.report.Slowness)) >= risingEvidence:
 		return Slow
 	}
 	return None
@@ -164,7 +167,7 @@
 		return Stalled
 	case s.report.Errors >= failingEvidence && median(without(b.errors, s.report.Errors)) < failingPeers:
 		return Failing
-	case c.slow(s.report.Slowness - median(without(b.slowness, s.report.Slowness))):
+	case c.slow(s.report.Slowness - upper(without(b.slowness, s.report.Slowness))):
 		return Slow
 	}
 	return None
@@ -188,6 +191,14 @@
 	return (sorted[(n-1)/2] + sorted[n/2]) / 2
 }
 
+// upper returns the upper quantile of sorted values, zero if there are none.
+func upper(sorted []float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[int(upperShare*float64(len(sorted)-1))]
+}
+
 // scatter returns the median absolute deviation from m.
 func scatter(values []float64, m float64) float64 {
 	deviations := make([]float64, 0, len(values))
--- a/choice/picker/picker_test.go
+++ b/choice/picker/picker_test.go
@@ -23,10 +23,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		flag.Set("rapid.seed", "12")
+	defaults := map[string]string{"rapid.seed": "12", "rapid.checks": "1000", "rapid.nofailfile": "true"}
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		flag.Set(name, value)
 	}
 	os.Exit(m.Run())
 }
@@ -100,7 +100,15 @@
 				o.p.Update(o.now, picker.BackendLost{ID: n})
 			},
 			"pick": func(t *rapid.T) { o.pick(t, name) },
-			"end":  func(t *rapid.T) { o.end(t) },
+			"trial": func(t *rapid.T) {
+				n := name.Draw(t, "backend")
+				o.p.Update(o.now, picker.PeerReport{Backend: n, Report: report.Report{Stalled: time.Minute}})
+				for range 30 {
+					o.now = o.now.Add(200 * time.Millisecond)
+					o.p.Update(o.now, picker.Tick{})
+				}
+			},
+			"end": func(t *rapid.T) { o.end(t) },
 			"report": func(t *rapid.T) {
 				o.p.Update(o.now, picker.PeerReport{Backend: name.Draw(t, "backend"), Report: drawReport(t)})
 			},
@@ -118,6 +126,21 @@
 
 func (o *oracle) pick(t *rapid.T, name *rapid.Generator[backend.ID]) {
 	exclude := rapid.SliceOfN(name, 0, 2).Draw(t, "exclude")
+	for range 20 {
+		o.draw(t, exclude)
+	}
+	chosen := o.draw(t, exclude)
+	if chosen == "" {
+		return
+	}
+	o.next++
+	f := picker.Picked{Attempt: id.New("vm", 1, o.next), Backend: chosen, Class: class.Transfer}
+	o.flights = append(o.flights, f)
+	o.p.Update(o.now, f)
+}
+
+// draw picks once and checks the choice.
+func (o *oracle) draw(t *rapid.T, exclude []backend.ID) backend.ID {
 	chosen, err := o.p.Pick(o.now, "rounds", exclude)
 	_, ids := o.fits()
 	if err != nil {
@@ -127,15 +150,12 @@
 		if len(exclude) == 0 && len(ids) > 0 {
 			t.Fatalf("no pick of %v: %v", ids, err)
 		}
-		return
+		return ""
 	}
 	if !slices.Contains(ids, chosen) || slices.Contains(exclude, chosen) {
 		t.Fatalf("picked %s, may pick %v but %v", chosen, ids, exclude)
 	}
-	o.next++
-	f := picker.Picked{Attempt: id.New("vm", 1, o.next), Backend: chosen, Class: class.Transfer}
-	o.flights = append(o.flights, f)
-	o.p.Update(o.now, f)
+	return chosen
 }
 
 func (o *oracle) end(t *rapid.T) {
--- a/choice/scenario/model_test.go
+++ b/choice/scenario/model_test.go
@@ -38,6 +38,8 @@
 	downTo time.Time
 	maxRun int
 	done   int
+	// arrivals counts the requests sent to it.
+	arrivals int
 }
 
 func newModel(w *world, b backend.Backend) *model {
@@ -46,6 +48,7 @@
 
 // arrive is a request at the guard.
 func (m *model) arrive(r *call) {
+	m.arrivals++
 	if m.w.fifo {
 		m.line = append(m.line, r)
 		m.drain()
