Record requests and ejections for the burn report

Cause: the burn report had no source in a running daemon. Change: the observer records each ended request by route and organisation and each ejection; /burn on the operators' port. Measured: daemon, ingress and operate tests pass. Conclusion: 'berylpass burn' reads live daemons.

--- a/choice/chooser/chooser.go
+++ b/choice/chooser/chooser.go
@@ -194,6 +194,13 @@
 	c.feed(picker.PeerReport{Backend: of, Report: r})
 }
 
+// Service returns the service of a backend server, empty if it is unknown.
+func (c *Chooser) Service(of backend.ID) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.targets[of].Backend.Service
+}
+
 // Status lists every backend server with its state and reason.
 func (c *Chooser) Status() []picker.Line {
 	c.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,7 +31,9 @@
 	"berylpass/limit/enforcer"
 	"berylpass/mesh"
 	"berylpass/mesh/meshkey"
+	"berylpass/operate/burn"
 	"berylpass/operate/event"
+	"berylpass/operate/version"
 )
 
 // Daemon is one running process of the fleet.
@@ -75,10 +77,11 @@
 	d.observer = &observer{
 		logger: logger, metrics: d.metrics,
 		changed: d.ownBackendChanged, noticed: d.noticed,
-		heard: func(revision uint64, from member.ID) { d.follower.Heard(revision, from) },
-		ended: func(time.Time, ingress.Record) {},
+		heard:   func(revision uint64, from member.ID) { d.follower.Heard(revision, from) },
+		service: func(id backend.ID) string { return d.chooser.Service(id) },
+		clock:   d.clock, burn: burn.New(d.clock()),
 	}
-	event.Starting.Log(&d.logger).Str("daemon", s.Daemon.ID).Str("version", Version).Send()
+	event.Starting.Log(&d.logger).Str("daemon", s.Daemon.ID).Str("version", version.Current().Version).Send()
 	if err := d.start(); err != nil {
 		d.Close()
 		return nil, err
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -1,7 +1,7 @@
 package daemon
 
 import (
-	"sync"
+	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -12,6 +12,7 @@
 	"berylpass/fleet/backend"
 	"berylpass/fleet/member"
 	"berylpass/ingress"
+	"berylpass/operate/burn"
 	"berylpass/operate/event"
 )
 
@@ -23,15 +24,12 @@
 	changed func(b backend.Backend)
 	noticed func(id backend.ID, r report.Report)
 	heard   func(revision uint64, from member.ID)
-	ended   func(now time.Time, r ingress.Record)
-
-	mu       sync.Mutex
-	detected []time.Duration
+	// service returns the service of a backend server, empty if unknown.
+	service func(id backend.ID) string
+	clock   func() time.Time
+	burn    *burn.Recorder
 }
 
-// maxDetected bounds the detection times that are kept for the burn report.
-const maxDetected = 1000
-
 func (o *observer) count(name string) { metrics.GetOrRegisterCounter(name, o.metrics).Inc(1) }
 
 // BackendChanged implements guard.Observer.
@@ -61,17 +59,15 @@
 func (o *observer) Ejected(e picker.Ejected) {
 	o.count(`ejections{reason="` + e.Reason.String() + `"}`)
 	metrics.GetOrRegisterTimer("detection-time", o.metrics).Update(e.After)
-	o.mu.Lock()
-	if len(o.detected) < maxDetected {
-		o.detected = append(o.detected, e.After)
-	}
-	o.mu.Unlock()
+	now := o.clock()
+	o.burn.Eject(now, string(e.Backend), o.service(e.Backend), e.Reason.String(), now.Add(-e.After))
 	event.Ejected.Log(&o.logger).Str("backend", string(e.Backend)).Stringer("reason", e.Reason).Dur("after", e.After).Send()
 }
 
 // Restored implements chooser.Observer.
 func (o *observer) Restored(r picker.Restored) {
 	o.count("restorations")
+	o.burn.Restore(o.clock(), string(r.Backend))
 	event.Restored.Log(&o.logger).Str("backend", string(r.Backend)).Dur("out", r.Out).Send()
 }
 
@@ -82,7 +78,28 @@
 	if r.Outcome == ingress.Unknown {
 		event.UnknownOutcome.Log(&o.logger).Str("route", r.Route).Str("reason", r.Reason).Send()
 	}
-	o.ended(now, r)
+	if r.Route == "" {
+		return
+	}
+	o.burn.Record(now, burn.Sample{
+		Route: r.Route, Organisation: r.Organisation, Objective: r.Objective, Outcome: burnOutcome(r), Latency: r.Took,
+	})
+}
+
+// burnOutcome tells how a request counts against its route's objective.
+func burnOutcome(r ingress.Record) burn.Outcome {
+	late := r.Took > r.Deadline || r.Status >= http.StatusInternalServerError
+	switch {
+	case r.Outcome == ingress.Answered && late:
+		return burn.Late
+	case r.Outcome == ingress.Answered:
+		return burn.InTime
+	case r.Outcome == ingress.Unknown:
+		return burn.Unknown
+	case r.Reason == ingress.ReasonOverLimit:
+		return burn.OverRate
+	}
+	return burn.NotRun
 }
 
 // HeardRevision implements ingress.Observer.
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -6,18 +6,20 @@
 	"net/http"
 	"slices"
 
+	"berylpass/operate/burn"
 	"berylpass/operate/exposition"
 	"berylpass/operate/status"
+	"berylpass/operate/version"
 )
 
-// Version is the version of the program.
-const Version = "0.1.0"
-
 // operators returns the handler of the operators' port.
 func (d *Daemon) operators() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", exposition.New(d.metrics))
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.Status()) })
+	mux.Handle("GET "+burn.Path, burn.Handler(func() burn.Snapshot {
+		return d.observer.burn.Snapshot(d.clock()).WithDaemon(string(d.self.ID))
+	}))
 	return mux
 }
 
@@ -37,7 +39,7 @@
 	out := status.Status{
 		Daemon:      string(d.self.ID),
 		Datacentre:  d.self.Datacentre,
-		Version:     Version,
+		Version:     version.Current().Version,
 		Incarnation: d.self.Incarnation,
 		Revision:    s.Revision,
 		Ready:       "ready",
--- a/ingress/draw.go
+++ b/ingress/draw.go
@@ -21,7 +21,7 @@
 	if err == nil {
 		return &token, journey.TokenDrawn{}
 	}
-	refused := journey.TokenRefused{Reason: reasonOverLimit, RetryAfter: time.Second}
+	refused := journey.TokenRefused{Reason: ReasonOverLimit, RetryAfter: time.Second}
 	var refusal *enforcer.Refusal
 	if errors.As(err, &refusal) {
 		refused.RetryAfter = refusal.RetryAfter
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -72,7 +72,9 @@
 	Took time.Duration
 	// Deadline is that of the route.
 	Deadline time.Duration
-	Attempts int
+	// Objective is that of the route, a share from 0 to 1; 0 for none.
+	Objective float64
+	Attempts  int
 }
 
 // Observer learns of ended requests. Its methods must not block.
@@ -127,10 +129,7 @@
 	x, err := i.admit(now, r)
 	if err != nil {
 		f := refusalOf(err)
-		i.Observer.Ended(i.Clock(), Record{
-			Route: x.route.Name, Organisation: x.caller.organisation, Outcome: f.outcome, Reason: f.reason,
-			Status: f.status, Took: i.Clock().Sub(now), Deadline: x.route.Deadline,
-		})
+		i.Observer.Ended(i.Clock(), x.record(ended{outcome: f.outcome, reason: f.reason, status: f.status}))
 		reply(w, f)
 		return
 	}
@@ -172,21 +171,27 @@
 }
 
 func (i *Ingress) finish(w http.ResponseWriter, x *exchange, end ended) {
-	i.Observer.Ended(i.Clock(), Record{
+	i.Observer.Ended(i.Clock(), x.record(end))
+	if end.outcome == Answered {
+		pass(w, end.answer, end.attempt.String())
+		return
+	}
+	reply(w, end.refusal())
+}
+
+// record sums up a request that has ended for the observer.
+func (x *exchange) record(end ended) Record {
+	return Record{
 		Route:        x.route.Name,
 		Organisation: x.caller.organisation,
 		Outcome:      end.outcome,
 		Reason:       end.reason,
 		Status:       end.status,
-		Took:         i.Clock().Sub(x.began),
+		Took:         x.ingress.Clock().Sub(x.began),
 		Deadline:     x.route.Deadline,
+		Objective:    x.route.Objective,
 		Attempts:     end.attempts,
-	})
-	if end.outcome == Answered {
-		pass(w, end.answer, end.attempt.String())
-		return
 	}
-	reply(w, end.refusal())
 }
 
 // caller is who a request runs for.
--- a/ingress/reply.go
+++ b/ingress/reply.go
@@ -37,7 +37,8 @@
 
 // The reasons of refusals, besides those of guards and journeys.
 const (
-	reasonOverLimit = "over-limit"
+	// ReasonOverLimit tells that the organisation has used up its rate and burst.
+	ReasonOverLimit = "over-limit"
 	reasonNoLease   = "no-lease"
 	reasonNoBackend = "no-backend"
 	reasonBudget    = "retry-budget-empty"
@@ -73,7 +74,7 @@
 
 func statusOf(r journey.Reply) int {
 	switch {
-	case r.Outcome == journey.NotRunOutcome && r.Reason == reasonOverLimit:
+	case r.Outcome == journey.NotRunOutcome && r.Reason == ReasonOverLimit:
 		return http.StatusTooManyRequests
 	case r.Outcome == journey.NotRunOutcome && r.Reason == guard.ReasonKeyWithdrawn:
 		return http.StatusUnauthorized
