Test the data hop and compare it with nbhttp's client

Cause: the house style asks for nbhttp on the data hop unless a measurement says otherwise. Change: tests of forwarder (crossed, cut, oversized answers, nobody listening, end by context) and a benchmark beside nbhttp's client on the same port. The server side stays nbhttp, the client side net/http.

--- /dev/null
+++ b/hop/forwarder/forwarder_test.go
@@ -0,0 +1,163 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	nbtls "github.com/lesismal/llib/std/crypto/tls"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"berylpass/attempt/id"
+	"berylpass/caller/listener"
+	"berylpass/config/class"
+	"berylpass/hop"
+	"berylpass/mesh/meshkey"
+)
+
+func meshKey(t testing.TB) *meshkey.MeshKey {
+	t.Helper()
+	key, err := meshkey.New("secret-of-this-fleet")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+// serve answers each request on a TLS port with the report that makes from its envelope.
+func serve(t testing.TB, key *meshkey.MeshKey, makes func(w http.ResponseWriter, e hop.Envelope)) string {
+	t.Helper()
+	l, err := listener.New("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e, err := hop.ReadEnvelope(r.Header)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		makes(w, e)
+	}), listener.WithTLS(key.NonBlockingServerTLS()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l.Address()
+}
+
+func answer(w http.ResponseWriter, attempt id.ID, size int) {
+	hop.Report{Attempt: attempt, Ending: hop.Ran}.Write(w.Header())
+	_, _ = w.Write(make([]byte, size))
+}
+
+func envelope(n uint64) hop.Envelope {
+	return hop.Envelope{Attempt: id.New("vm-1", 1, n), Backend: "rounds-1", Incarnation: 7, Expires: 1000, Class: class.Transfer, Route: "lookups"}
+}
+
+func TestForward(t *testing.T) {
+	key := meshKey(t)
+	other := id.New("vm-9", 9, 9)
+	whole := serve(t, key, func(w http.ResponseWriter, e hop.Envelope) { answer(w, e.Attempt, 1<<20) })
+	crossed := serve(t, key, func(w http.ResponseWriter, _ hop.Envelope) { answer(w, other, 10) })
+	cut := serve(t, key, func(http.ResponseWriter, hop.Envelope) { panic(http.ErrAbortHandler) })
+	f := New(key.ClientTLS(), 1<<20)
+	small := New(key.ClientTLS(), 1<<10)
+	for _, c := range []struct {
+		name    string
+		f       *Forwarder
+		address string
+		want    error
+	}{
+		{"whole answer", f, whole, nil},
+		{"answer over the bound", small, whole, ErrLost},
+		{"answer of another attempt", f, crossed, ErrMismatch},
+		{"cut answer", f, cut, ErrLost},
+		{"nobody listens", f, "127.0.0.1:1", ErrNotSent},
+	} {
+		got, err := c.f.Forward(context.Background(), c.address, envelope(1), Request{Method: "GET", Target: "/fields?n=1", Host: "example.org"})
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
+		}
+		if err == nil && len(got.Body) != 1<<20 {
+			t.Errorf("%s: %d bytes", c.name, len(got.Body))
+		}
+	}
+}
+
+func TestForwardEndsWithItsContext(t *testing.T) {
+	key := meshKey(t)
+	release := make(chan struct{})
+	address := serve(t, key, func(w http.ResponseWriter, e hop.Envelope) {
+		<-release
+		answer(w, e.Attempt, 1)
+	})
+	defer close(release)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := New(key.ClientTLS(), 1<<20).Forward(ctx, address, envelope(1), Request{Method: "GET", Target: "/", Host: "h"}); !errors.Is(err, ErrLost) {
+		t.Errorf("got %v, want ErrLost", err)
+	}
+}
+
+// BenchmarkForward is the data hop as it is: net/http's transport towards nbhttp.
+func BenchmarkForward(b *testing.B) {
+	key := meshKey(b)
+	address := serve(b, key, func(w http.ResponseWriter, e hop.Envelope) { answer(w, e.Attempt, 512) })
+	f := New(key.ClientTLS(), 1<<20)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := f.Forward(context.Background(), address, envelope(1), Request{Method: "GET", Target: "/", Host: "h"}); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
+
+// BenchmarkForwardWithNbhttpClient is the same hop with nbhttp's client, for comparison.
+func BenchmarkForwardWithNbhttpClient(b *testing.B) {
+	key := meshKey(b)
+	address := serve(b, key, func(w http.ResponseWriter, e hop.Envelope) { answer(w, e.Attempt, 512) })
+	engine := nbhttp.NewEngine(nbhttp.Config{})
+	if err := engine.Start(); err != nil {
+		b.Fatal(err)
+	}
+	defer engine.Stop()
+	client := &nbhttp.Client{Engine: engine, Timeout: 10 * time.Second, MaxConnsPerHost: 64, TLSClientConfig: nbClientTLS(key.ClientTLS())}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		done := make(chan error, 1)
+		for pb.Next() {
+			request, err := http.NewRequest(http.MethodGet, "https://"+address+"/", bytes.NewReader(nil))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			envelope(1).Write(request.Header)
+			client.Do(request, func(response *http.Response, _ net.Conn, err error) { done <- drain(response, err) })
+			if err := <-done; err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
+
+func drain(response *http.Response, err error) error {
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+func nbClientTLS(c *tls.Config) *nbtls.Config {
+	return &nbtls.Config{
+		Certificates:       []nbtls.Certificate{{Certificate: c.Certificates[0].Certificate, PrivateKey: c.Certificates[0].PrivateKey}},
+		InsecureSkipVerify: true,
+	}
+}
