Log the events that the catalogue promises

Cause: 28 of 48 events were never logged, so docs/EVENTS.md promised lines that don't come. Change: a monitor logs readiness, isolation, leases and the floor; observed.Store tells when the platform goes and returns; refused announcements, callers, revisions, a store that is behind, withdrawn keys and data centres are logged. Seven events without a source are gone. A test now fails for an event that nothing logs. Measured: the new test listed the unused events before the change and passes after it; daemon and revision tests pass with the race detector. Conclusion: page and program agree.

--- a/announcement/announcement.go
+++ b/announcement/announcement.go
@@ -66,10 +66,25 @@
 // Announcement serves the port.
 type Announcement struct {
 	registry Registry
+	refused  func(error)
+}
+
+// Option changes how announcements are taken.
+type Option func(*Announcement)
+
+// WithRefused is called with the reason of each refused announcement.
+func WithRefused(refused func(error)) Option {
+	return func(a *Announcement) { a.refused = refused }
 }
 
 // New returns a handler that passes announcements on to the registry.
-func New(registry Registry) *Announcement { return &Announcement{registry: registry} }
+func New(registry Registry, options ...Option) *Announcement {
+	a := &Announcement{registry: registry, refused: func(error) {}}
+	for _, option := range options {
+		option(a)
+	}
+	return a
+}
 
 type announced struct {
 	Service     string `json:"service"`
@@ -85,14 +100,16 @@
 		return
 	}
 	err = a.handle(r.Method, r.URL.Path, body)
-	switch {
-	case err == nil:
+	if err == nil {
 		w.WriteHeader(http.StatusNoContent)
-	case errors.Is(err, ErrUnknown):
-		refuse(w, http.StatusNotFound, err)
-	default:
-		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	a.refused(err)
+	status := http.StatusBadRequest
+	if errors.Is(err, ErrUnknown) {
+		status = http.StatusNotFound
 	}
+	refuse(w, status, err)
 }
 
 func (a *Announcement) handle(method, path string, body []byte) error {
--- a/config/revision/follower.go
+++ b/config/revision/follower.go
@@ -52,6 +52,8 @@
 	// ErrNoConfiguration reports a daemon that must refuse all requests: it has no
 	// configuration, or has not compared it with the fleet since its start.
 	ErrNoConfiguration = errors.New("no configuration in force yet")
+	// ErrBehind reports a store that shows a lower revision than the one in force.
+	ErrBehind = errors.New("store shows a lower revision than the one in force")
 	// ErrIsolated reports a daemon that must refuse requests with keys: it may have
 	// missed a withdrawal.
 	ErrIsolated = errors.New("daemon reaches neither the store nor enough of the fleet")
@@ -100,6 +102,7 @@
 	store    Store
 	clock    func() time.Time
 	onChange func(snapshot.Snapshot)
+	refused  func(from member.ID, err error)
 
 	current atomic.Pointer[opened]
 	ready   atomic.Bool
@@ -136,12 +139,19 @@
 	return func(f *Follower) { f.onChange = change }
 }
 
+// WithOnRefused is called with each revision that is not put in force: one that
+// fails its checks, or with ErrBehind a lower one in the store. From is empty for the store.
+func WithOnRefused(refused func(from member.ID, err error)) Option {
+	return func(f *Follower) { f.refused = refused }
+}
+
 // New starts to follow the configuration.
 func New(verifier Verifier, fleet Fleet, caller Caller, store Store, options ...Option) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
 		verifier: verifier, fleet: fleet, caller: caller, store: store, clock: time.Now,
-		pulled: map[uint64]*opened{}, changed: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
+		refused: func(member.ID, error) {},
+		pulled:  map[uint64]*opened{}, changed: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	for _, option := range options {
 		option(f)
--- a/config/revision/pull.go
+++ b/config/revision/pull.go
@@ -21,11 +21,17 @@
 	defer cancel()
 	next, err := f.open(ctx, a.From)
 	if err != nil {
+		if errors.Is(err, errNoManifest) {
+			f.refused(a.From, err)
+		}
 		f.update(spread.FetchFailed{
 			Pull: a.Pull, Empty: errors.Is(err, object.ErrNotFound), Refuted: errors.Is(err, errNoManifest),
 		})
 		return
 	}
+	if a.From == "" && next.snapshot.Revision < f.Current().Revision {
+		f.refused(a.From, ErrBehind)
+	}
 	f.mu.Lock()
 	f.pulled[a.Pull] = next
 	f.mu.Unlock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"berylpass/choice/chooser"
 	"berylpass/config/revision"
 	"berylpass/config/settings"
+	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
 	"berylpass/fleet/directory"
 	"berylpass/fleet/member"
@@ -51,12 +52,14 @@
 	members       *membership.Membership
 	configuration inForce
 	follower      *revision.Follower
-	limits        *enforcer.Enforcer
-	chooser       *chooser.Chooser
-	control       *control.Control
-	forwarder     *forwarder.Forwarder
-	guard         *guard.Guard
-	ingress       *ingress.Ingress
+	// applied is the snapshot that the parts were last told of.
+	applied   snapshot.Snapshot
+	limits    *enforcer.Enforcer
+	chooser   *chooser.Chooser
+	control   *control.Control
+	forwarder *forwarder.Forwarder
+	guard     *guard.Guard
+	ingress   *ingress.Ingress
 
 	callers, data, backends, operating *listener.Listener
 
@@ -81,7 +84,7 @@
 		service: func(id backend.ID) string { return d.chooser.Service(id) },
 		clock:   d.clock, burn: burn.New(d.clock()),
 	}
-	event.Starting.Log(&d.logger).Str("daemon", s.Daemon.ID).Str("version", version.Current().Version).Send()
+	event.Starting.Log(&d.logger).Str("version", version.Current().Version).Send()
 	if err := d.start(); err != nil {
 		d.Close()
 		return nil, err
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -7,6 +7,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"berylpass/attempt/id"
+	"berylpass/choice/gate"
 	"berylpass/choice/picker"
 	"berylpass/choice/report"
 	"berylpass/fleet/backend"
@@ -16,6 +18,14 @@
 	"berylpass/operate/event"
 )
 
+// shedding holds the reasons for which a gate refuses a request that could not finish in time.
+var shedding = map[string]bool{
+	gate.Late.String():      true,
+	gate.QueueFull.String(): true,
+	gate.PushedOut.String(): true,
+	gate.Stalled.String():   true,
+}
+
 // observer turns what the parts of a daemon tell into log events and metrics.
 type observer struct {
 	logger  zerolog.Logger
@@ -49,7 +59,11 @@
 // Refused implements guard.Observer.
 func (o *observer) Refused(reason string) {
 	o.count(`guard-refusals{reason="` + reason + `"}`)
-	event.GuardRefused.Log(&o.logger).Str("reason", reason).Send()
+	told := event.GuardRefused
+	if shedding[reason] {
+		told = event.ShedQueue
+	}
+	told.Log(&o.logger).Str("reason", reason).Send()
 }
 
 // Noticed implements guard.Observer.
@@ -61,14 +75,22 @@
 	metrics.GetOrRegisterTimer("detection-time", o.metrics).Update(e.After)
 	now := o.clock()
 	o.burn.Eject(now, string(e.Backend), o.service(e.Backend), e.Reason.String(), now.Add(-e.After))
-	event.Ejected.Log(&o.logger).Str("backend", string(e.Backend)).Stringer("reason", e.Reason).Dur("after", e.After).Send()
+	told := event.Ejected
+	if e.Reason == picker.BadPath {
+		told = event.PathBroken
+	}
+	told.Log(&o.logger).Str("backend", string(e.Backend)).Stringer("reason", e.Reason).Dur("after", e.After).Send()
 }
 
 // Restored implements chooser.Observer.
 func (o *observer) Restored(r picker.Restored) {
 	o.count("restorations")
 	o.burn.Restore(o.clock(), string(r.Backend))
-	event.Restored.Log(&o.logger).Str("backend", string(r.Backend)).Dur("out", r.Out).Send()
+	told := event.Restored
+	if r.Reason == picker.BadPath {
+		told = event.PathMended
+	}
+	told.Log(&o.logger).Str("backend", string(r.Backend)).Dur("out", r.Out).Send()
 }
 
 // Ended implements ingress.Observer.
@@ -102,6 +124,18 @@
 	return burn.NotRun
 }
 
+// AnswerDropped implements ingress.Observer.
+func (o *observer) AnswerDropped(attempt id.ID) {
+	o.count("answers-dropped")
+	event.AnswerDropped.Log(&o.logger).Stringer("attempt", attempt).Send()
+}
+
+// BudgetEmpty implements ingress.Observer.
+func (o *observer) BudgetEmpty(route string) {
+	o.count("retry-budget-empty")
+	event.RetriesStopped.Log(&o.logger).Str("route", route).Send()
+}
+
 // HeardRevision implements ingress.Observer.
 func (o *observer) HeardRevision(revision uint64, from member.ID) { o.heard(revision, from) }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"berylpass/operate/burn"
+	"berylpass/operate/event"
 	"berylpass/operate/exposition"
 	"berylpass/operate/status"
 	"berylpass/operate/version"
@@ -20,6 +21,10 @@
 	mux.Handle("GET "+burn.Path, burn.Handler(func() burn.Snapshot {
 		return d.observer.burn.Snapshot(d.clock()).WithDaemon(string(d.self.ID))
 	}))
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		event.OperatorRefused.Log(&d.logger).Str("method", r.Method).Str("path", r.URL.Path).Send()
+		http.Error(w, "allowed are GET /metrics, /status and "+burn.Path, http.StatusNotFound)
+	})
 	return mux
 }
 
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
+	"net/http"
 
 	"github.com/lesismal/llib/std/crypto/tls"
 
@@ -27,6 +29,7 @@
 	"berylpass/mesh/meshkey"
 	"berylpass/operate/event"
 	"berylpass/platform/client"
+	"berylpass/platform/observed"
 )
 
 // start brings the parts up in the order in which they need each other. What has
@@ -37,7 +40,7 @@
 	}
 	d.self = member.New(member.ID(d.settings.Daemon.ID), d.settings.Daemon.Datacentre).
 		WithIncarnation(uint64(d.clock().UnixMilli()))
-	store := client.New(d.settings.Platform.URL, client.WithTimeout(d.settings.Platform.Timeout))
+	store := observed.New(client.New(d.settings.Platform.URL, client.WithTimeout(d.settings.Platform.Timeout)), d.storeChanged)
 	d.startChoice(store)
 	if err := d.startData(); err != nil {
 		return err
@@ -48,7 +51,11 @@
 		return err
 	}
 	d.mesh.Serve()
-	return d.startPorts()
+	if err := d.startPorts(); err != nil {
+		return err
+	}
+	d.startMonitor()
+	return nil
 }
 
 func (d *Daemon) startMesh() error {
@@ -66,7 +73,7 @@
 }
 
 // startChoice starts the limits, the choice of backend servers and the guard.
-func (d *Daemon) startChoice(store *client.Client) {
+func (d *Daemon) startChoice(store observed.Store) {
 	d.limits = enforcer.New(enforcer.Options{
 		Self: d.self.ID, Incarnation: d.self.Incarnation, Mesh: d.mesh, Store: store, Clock: d.clock,
 	})
@@ -101,7 +108,7 @@
 }
 
 // startFleet joins the fleet and follows the configuration.
-func (d *Daemon) startFleet(store *client.Client) {
+func (d *Daemon) startFleet(store observed.Store) {
 	d.members = membership.New(d.self, d.mesh, d.book, store,
 		membership.WithSeeds(d.settings.Mesh.Seeds...),
 		membership.WithRandomSeed(d.self.Incarnation),
@@ -110,7 +117,8 @@
 		membership.WithOnClock(d.clockHeard))
 	d.started(d.members.Close)
 	d.follower = revision.New(signature.NewVerifier(d.settings.Owners), d.members, d.mesh, store,
-		revision.WithOnChange(d.configurationChanged))
+		revision.WithOnChange(d.configurationChanged),
+		revision.WithOnRefused(d.revisionRefused))
 	d.started(d.follower.Close)
 	d.configuration.follower.Store(d.follower)
 }
@@ -148,7 +156,7 @@
 }
 
 func (d *Daemon) startPorts() (err error) {
-	if d.backends, err = listener.New(d.settings.Listen.Backends, announcement.New(d.guard)); err != nil {
+	if d.backends, err = listener.New(d.settings.Listen.Backends, announcement.New(d.guard, announcement.WithRefused(d.announcementRefused))); err != nil {
 		return err
 	}
 	d.started(d.backends.Close)
@@ -173,7 +181,7 @@
 		listener.WithMaxBody(d.settings.Limits.MaxBody),
 		listener.WithMaxHeader(int(d.settings.Limits.MaxHeader)),
 		listener.WithMaxConnections(d.settings.Limits.CallerConnections),
-		listener.WithRefusal(ingress.Refuse),
+		listener.WithRefusal(d.refuse),
 	}
 	if d.settings.TLS.Certificate == "" {
 		return options, nil
@@ -186,6 +194,12 @@
 	return append(options, listener.WithTLS(&tls.Config{GetCertificate: c.Get, MinVersion: tls.VersionTLS12})), nil
 }
 
+// refuse answers a request that was refused before it reached the ingress.
+func (d *Daemon) refuse(status int, reason string) (http.Header, []byte) {
+	event.CallerRefused.Log(&d.logger).Int("status", status).Str("reason", reason).Send()
+	return ingress.Refuse(status, reason)
+}
+
 func (d *Daemon) certificateRead(err error) {
 	if err != nil {
 		event.CertificateFailed.Log(&d.logger).Err(err).Send()
@@ -194,6 +208,18 @@
 	event.CertificateLoaded.Log(&d.logger).Str("certificate", d.settings.TLS.Certificate).Send()
 }
 
+func (d *Daemon) revisionRefused(from member.ID, err error) {
+	if errors.Is(err, revision.ErrBehind) {
+		event.StoreBehind.Log(&d.logger).Uint64("revision", d.configuration.Current().Revision).Send()
+		return
+	}
+	event.RevisionRefused.Log(&d.logger).Str("from", string(from)).Str("reason", err.Error()).Send()
+}
+
+func (d *Daemon) announcementRefused(err error) {
+	event.AnnounceRefused.Log(&d.logger).Str("reason", err.Error()).Send()
+}
+
 // memberChanged passes news of another daemon on to the parts that use it.
 func (d *Daemon) memberChanged(m member.Member) {
 	d.observer.memberChanged(m)
@@ -224,6 +250,8 @@
 
 func (d *Daemon) configurationChanged(s snapshot.Snapshot) {
 	event.RevisionApplied.Log(&d.logger).Uint64("revision", s.Revision).Send()
+	d.logWithdrawals(d.applied, s)
+	d.applied = s
 	d.guard.ConfigurationChanged(s)
 	d.chooser.SetConfiguration(s)
 	d.limits.SetConfiguration(s)
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -117,6 +117,7 @@
 		return event
 	}
 	if !x.ingress.withdraw(x.route.Name) {
+		x.ingress.Observer.BudgetEmpty(x.route.Name)
 		return journey.TokenRefused{Reason: reasonBudget}
 	}
 	go func() {
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -79,6 +79,9 @@
 		i.Guards.Heard(f.target.Guard.ID, f.answer.Report.Incarnation, f.answer.Report.Clock)
 		i.Observer.HeardRevision(f.answer.Report.Revision, f.target.Guard.ID)
 	}
+	if errors.Is(err, forwarder.ErrMismatch) {
+		i.Observer.AnswerDropped(f.envelope.Attempt)
+	}
 	f.settle(err)
 	f.observe(ctx, took, err)
 	return f.event(err)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -81,6 +81,10 @@
 type Observer interface {
 	Ended(now time.Time, r Record)
 	HeardRevision(revision uint64, from member.ID)
+	// AnswerDropped tells of an answer that belonged to another attempt.
+	AnswerDropped(attempt id.ID)
+	// BudgetEmpty tells of a second attempt that was not made.
+	BudgetEmpty(route string)
 }
 
 // Guards makes control calls to guards and knows their clocks.
--- a/operate/event/catalogue.go
+++ b/operate/event/catalogue.go
@@ -17,17 +17,14 @@
 	ShutdownDone      = info(1102, "shutdown-done", "All work in flight is finished and the daemon ends.")
 	ForcedEnd         = warn(1103, "forced-end", "A second signal, or the end of the grace period, ended the daemon with work in flight.")
 	Failed            = failure(1201, "failed", "The daemon can't go on and ends with an error.")
-	TaskFailed        = failure(1202, "task-failed", "A background task of the daemon failed and will be tried again.")
 	CertificateLoaded = info(1301, "certificate-loaded", "The certificate of the callers' port was read, at the start or after its file changed.")
 	CertificateFailed = warn(1302, "certificate-failed", "A changed certificate could not be read: the one in use stays. Mend the files.")
 )
 
 // Limits of organisations.
 var (
-	AllotmentMoved = info(2001, "allotment-moved", "A share of an organisation's rate and burst moved from one holder to another.")
-	LeaseLost      = warn(2101, "lease-lost", "This daemon may no longer use its allotments: it holds neither a promise nor a renewed lease.")
-	LeaseRegained  = info(2102, "lease-regained", "This daemon uses its allotments again.")
-	ShareReclaimed = warn(2103, "share-reclaimed", "The share of a lost holder was taken over after all other holders voted.")
+	LeaseLost     = warn(2101, "lease-lost", "This daemon may no longer use its allotments: it holds neither a promise nor a renewed lease.")
+	LeaseRegained = info(2102, "lease-regained", "This daemon uses its allotments again.")
 )
 
 // Attempts.
@@ -35,7 +32,6 @@
 	GuardRefused   = warn(3001, "guard-refused", "The guard refused a forwarded request as not run; the reason field says why.")
 	UnknownOutcome = warn(3002, "unknown-outcome", "A request may or may not have run; the caller was told so.")
 	AnswerDropped  = warn(3003, "answer-dropped", "An answer did not match its attempt: it was dropped and its connection closed.")
-	AnswerCut      = warn(3004, "answer-cut", "A backend server's answer ended early: the caller's connection was closed so that the cut shows.")
 	RetriesStopped = info(3101, "retry-budget-empty", "A route has used up its budget of second runs: requests get no retry or hedge for now.")
 	CallerRefused  = info(3201, "caller-refused", "A malformed request was refused; the reason field says why.")
 )
@@ -45,7 +41,6 @@
 	Ejected    = warn(4001, "ejected", "A backend server is left out because it serves worse than its peers; the reason field says how.")
 	Restored   = info(4002, "restored", "An ejected backend server takes work again.")
 	FloorHeld  = warn(4003, "floor-held", "A backend server would have been ejected, but the floor of its service keeps it in use.")
-	ColdStart  = warn(4101, "cold-start", "A running backend server shows signs of a cold start: its concurrency was lowered.")
 	ShedQueue  = info(4201, "queue-shed", "Waiting requests that could not finish in time were refused as not run.")
 	PathBroken = warn(4301, "path-broken", "This daemon can't reach a member's data address and sends its work elsewhere.")
 	PathMended = info(4302, "path-mended", "A member's data address can be reached again.")
@@ -63,7 +58,6 @@
 	MemberLeft       = info(5104, "member-left", "A daemon left the fleet in good order.")
 	Isolated         = warn(5201, "isolated", "This daemon reaches neither the store nor enough members: it refuses keyed work until it does.")
 	Rejoined         = info(5202, "rejoined", "This daemon is no longer isolated.")
-	BadPeerMessage   = warn(5301, "bad-peer-message", "A message from a peer was malformed, too large or not authentic, and was dropped.")
 )
 
 // Configuration and platform.
@@ -80,7 +74,6 @@
 
 // Operators.
 var (
-	StatusServed    = debug(7001, "status-served", "An operator read the daemon's status.")
 	OperatorRefused = warn(7002, "operator-request-refused", "A request on the operators' port was malformed or not allowed.")
 )
 
@@ -89,10 +82,6 @@
 	return slices.SortedFunc(slices.Values(catalogue), func(a, b Event) int { return a.Number - b.Number })
 }
 
-func debug(number int, name, meaning string) Event {
-	return define(number, name, meaning, zerolog.DebugLevel)
-}
-
 func info(number int, name, meaning string) Event {
 	return define(number, name, meaning, zerolog.InfoLevel)
 }
--- a/operate/event/event_test.go
+++ b/operate/event/event_test.go
@@ -88,3 +88,28 @@
 		t.Errorf("got %s, want %s", b.String(), want)
 	}
 }
+
+// Each event of the catalogue is logged somewhere, so the page promises none that never comes.
+func TestEachEventIsLogged(t *testing.T) {
+	catalogue, err := os.ReadFile("catalogue.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var code bytes.Buffer
+	err = filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		code.Write(text)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range regexp.MustCompile(`(?m)^\t([A-Z]\w+) += \w+\(`).FindAllSubmatch(catalogue, -1) {
+		if !regexp.MustCompile(`event\.` + string(name[1]) + `\b`).Match(code.Bytes()) {
+			t.Errorf("event %s is never logged", name[1])
+		}
+	}
+}
