Ask peers before a server is ejected as slow

Cause: with all servers slow at once the first to show it was ejected, since the reports of its peers were stale (a trial showed peers at 53 to 61 ms, 1060 to 1679 ms old, beside 370 ms); a stall was seen behind a limit of one after callers had given up. Change: the ingress asks the guards of the service before it ejects as slow; the spread is the usual one; without a rise an outlier needs 20 samples; a stall behind fewer slots takes longer; a cut for service times leaves 0.7.

--- a/choice/evidence/evidence.go
+++ b/choice/evidence/evidence.go
@@ -44,7 +44,7 @@
 	minSpread = 0.3
 	// risen and fallen are the evidence of slowness, in nats, from which service
 	// times count as changed and as back to what was usual.
-	risen, fallen = 14, 1
+	risen, fallen = 8, 1
 	// maxSlownessStep bounds the evidence, in nats, of one service time.
 	maxSlownessStep = 3
 
@@ -127,12 +127,21 @@
 		}
 	}
 	w := long
-	spread := max(long.Spread(), minSpread)
+	spread := e.spread(now, c)
 	n := short.Samples(now)
 	if n >= shortSamples && math.Abs(short.Mean()-usual) >= changeSigmas*spread/math.Sqrt(n) {
 		w = short
 	}
-	return report.Level{Time: fromLog(w.Mean()), Spread: long.Spread(), Samples: w.Samples(now)}
+	return report.Level{Time: fromLog(w.Mean()), Spread: spread, Samples: w.Samples(now)}
+}
+
+// spread returns the usual spread of the service times of class c.
+func (e *Evidence) spread(now time.Time, c class.Class) float64 {
+	u := e.usual[c]
+	if u.Samples(now) < usualSamples {
+		u = e.long[c]
+	}
+	return max(u.Spread(), minSpread)
 }
 
 // Errors returns the evidence of a raised error share in nats, from 0 to Max.
--- a/choice/gate/measure.go
+++ b/choice/gate/measure.go
@@ -71,18 +71,17 @@
 }
 
 // stalled returns how long the backend server has completed nothing while
-// requests were overdue or abandoned; zero if it is not stalled.
+// requests were overdue or abandoned; zero if it is not stalled. The fewer may
+// run, the longer they must be overdue.
 func (l *lane) stalled(now time.Time) time.Duration {
 	needed := min(stalledRequests, l.limiter.Allowed(now))
+	patience := time.Duration(1) << (stalledRequests - needed)
 	overdue := 0
-	if silent := now.Sub(l.lastCompleted); silent >= stalledAfter {
+	if l.abandoned >= min(stalledRequests, l.limiter.Slots()) && now.Sub(l.lastCompleted) >= l.patience(now) {
 		overdue = l.abandoned
 	}
 	for _, r := range l.running {
-		limit := evidence.Overdue(l.evidence.Level(now, r.item.Class, nil))
-		if needed == 1 {
-			limit *= 2
-		}
+		limit := patience * evidence.Overdue(l.evidence.Level(now, r.item.Class, nil))
 		if now.Sub(r.started) >= limit && now.Sub(l.lastCompleted) >= limit {
 			overdue++
 		}
@@ -93,6 +92,17 @@
 	return now.Sub(l.lastCompleted)
 }
 
+// patience returns the least time without completion that speaks against the backend server.
+func (l *lane) patience(now time.Time) time.Duration {
+	var longest time.Duration
+	for c := range class.Count {
+		if level := l.evidence.Level(now, c, nil); level.Samples > 0 {
+			longest = max(longest, evidence.Overdue(level))
+		}
+	}
+	return max(longest, stalledAfter)
+}
+
 // report returns what is measured at the time now.
 func (l *lane) report(now time.Time) report.Report {
 	r := report.Report{
--- a/choice/limiter/limiter.go
+++ b/choice/limiter/limiter.go
@@ -1,7 +1,7 @@
 // Package limiter bounds how many requests run at once on one backend server.
 //
 // A freshly started backend server gets one request at a time, and all its slots
-// after the ramp. The limit is halved on signs that a warm backend server bears
+// after the ramp. The limit is cut on signs that a warm backend server bears
 // less than its slots: it sheds, it resets connections, or its service times jump
 // above their own history. After a cut for service times the limiter checks
 // whether less load made them shorter; if it did not, the cut was no help and the
@@ -25,8 +25,10 @@
 )
 
 const (
-	// cutFactor is the share of the limit that a cut leaves.
-	cutFactor = 0.5
+	// refusalCut and jumpCut are the shares of the limit that are left by a cut
+	// after a refusal and after a jump of the service times.
+	refusalCut = 0.5
+	jumpCut    = 0.7
 	// cutInterval is the least time between two cuts.
 	cutInterval = 250 * time.Millisecond
 	// usualSpan is the time constant of the usual service time.
@@ -172,12 +174,16 @@
 	l.at = now
 }
 
-// cut lowers the limit to half of what ran. Excess is the cause in nats, zero for refusals.
+// cut lowers the limit to a share of what ran. Excess is the cause in nats, zero for refusals.
 func (l *Limiter) cut(now time.Time, ran int, excess float64) {
 	if now.Sub(l.cutAt) < cutInterval {
 		return
 	}
-	l.limit = max(1, cutFactor*min(l.limit, l.bears(now), float64(ran)))
+	share := refusalCut
+	if excess > 0 {
+		share = jumpCut
+	}
+	l.limit = max(1, share*min(l.limit, l.bears(now), float64(ran)))
 	l.cutAt, l.excessAtCut, l.growth = now, excess, 1
 	l.waiting = excess > 0
 	l.excess = window.New(excessSpan)
--- a/choice/picker/judge.go
+++ b/choice/picker/judge.go
@@ -22,13 +22,16 @@
 	madLimit = 4
 	// slowSigmas is the number of standard errors that an outlier exceeds.
 	slowSigmas = 5.5
+	// slowSamples is the least number of samples that show an outlier without a rise.
+	slowSamples = 20
 	// slowEvidence is the evidence of slowness, in nats, that is significant.
 	slowEvidence = 14
 	// risingEvidence is the evidence of slowness or errors, in nats, from which
 	// the time of confirmation runs.
 	risingEvidence = 5
-	// upperShare is the quantile of the peers' evidence of slowness that counts
-	// less: when more than a third of them are slow too, the cause is common.
+	// slowPeers is the evidence of slowness at the peers from which the cause is
+	// common, upperShare the quantile of the peers that is looked at.
+	slowPeers  = 8
 	upperShare = 0.7
 	// failingEvidence is the evidence of errors, in nats, that makes an outlier.
 	failingEvidence = 12
@@ -53,14 +56,15 @@
 	deviation float64
 	// peers is the logarithmic level of the peers, averaged over the classes.
 	peers float64
-	known bool
+	// samples is the effective number of its samples.
+	samples float64
+	known   bool
 }
 
-// slow reports whether the comparison shows an outlier. Slowness is the guard's
-// evidence that service times rose, less that of the peers; it stands in for a
-// large number of samples.
-func (c comparison) slow(slowness float64) bool {
-	significant := slowness >= slowEvidence || c.ratio >= slowSigmas*c.sigma
+// slow reports whether the comparison shows an outlier. That the service times of
+// this server alone rose stands in for a large number of samples.
+func (c comparison) slow(rose bool) bool {
+	significant := rose || c.samples >= slowSamples && c.ratio >= slowSigmas*c.sigma
 	return c.known && significant && c.ratio >= max(slowRatio, madLimit*c.deviation)
 }
 
@@ -106,6 +110,11 @@
 	return b
 }
 
+// slowPeers returns the evidence of slowness at the upper quantile of the peers of s.
+func (b baseline) slowPeers(s *server) float64 {
+	return upper(without(b.slowness, s.report.Slowness))
+}
+
 // fresh reports whether the report of s counts.
 func (s *server) fresh(now time.Time) bool {
 	return !s.reportAt.IsZero() && now.Sub(s.reportAt) <= reportLife
@@ -136,6 +145,7 @@
 		sigma:     math.Sqrt(variance) / weight,
 		deviation: madScale * deviation / weight,
 		peers:     peers / weight,
+		samples:   weight,
 		known:     true,
 	}
 }
@@ -148,7 +158,7 @@
 	switch {
 	case s.report.Errors-median(without(b.errors, s.report.Errors)) >= risingEvidence:
 		return Failing
-	case s.report.Slowness-upper(without(b.slowness, s.report.Slowness)) >= risingEvidence:
+	case s.report.Slowness >= risingEvidence && b.slowPeers(s) < slowPeers:
 		return Slow
 	}
 	return None
@@ -167,7 +177,7 @@
 		return Stalled
 	case s.report.Errors >= failingEvidence && median(without(b.errors, s.report.Errors)) < failingPeers:
 		return Failing
-	case c.slow(s.report.Slowness - upper(without(b.slowness, s.report.Slowness))):
+	case c.slow(s.report.Slowness >= slowEvidence && b.slowPeers(s) < slowPeers):
 		return Slow
 	}
 	return None
--- a/choice/picker/message.go
+++ b/choice/picker/message.go
@@ -92,7 +92,7 @@
 }
 
 // Ask asks for the report of a guard without running a request, because
-// requests to its backend server are overdue. The adapter bounds it by AskTimeout
+// requests to its backend server are overdue, or a peer seems slow. The adapter bounds it by AskTimeout
 // and ends it with Observed, Attempt zero: verdict Shed and the report if the
 // guard answered, PathFailure if it did not.
 type Ask struct {
--- a/choice/picker/table.go
+++ b/choice/picker/table.go
@@ -31,6 +31,8 @@
 	suspect Reason
 	// badSince is when the suspicion began.
 	badSince time.Time
+	// foundSince is when the suspicion became strong enough to eject, zero before.
+	foundSince time.Time
 	// ejectedAt is when the last ejection began.
 	ejectedAt time.Time
 	// good and bad count results of own requests during a trial.
@@ -60,7 +62,9 @@
 	lastAnswer time.Time
 	lastPick   time.Time
 	lastProbe  time.Time
-	kept       bool
+	// askedAt is when its guard was last asked for a report.
+	askedAt time.Time
+	kept    bool
 }
 
 // path is a row of the table of paths to guards.
--- a/choice/picker/tick.go
+++ b/choice/picker/tick.go
@@ -13,6 +13,10 @@
 	// spreadTime is that time while most peers have not reported since the
 	// suspicion began: notices about them may be on their way.
 	spreadTime = time.Second
+	// askInterval is the least time between two questions to a guard about its peers.
+	askInterval = 500 * time.Millisecond
+	// maxAsked bounds the peers that are asked at once.
+	maxAsked = 24
 	// trialCompleted is the number of requests, over the fleet, that a trial takes.
 	trialCompleted = 8
 	// trialGood is the number of own good answers that passes a trial.
@@ -75,18 +79,37 @@
 	}
 	s.suspect = suspect
 	if found == None {
+		s.foundSince = time.Time{}
 		return nil
 	}
-	needed := confirmTime
-	if found == Slow && !s.group.reportedSince(s.badSince) {
-		needed = spreadTime
+	if s.foundSince.IsZero() {
+		s.foundSince = now
 	}
-	if now.Sub(s.badSince) < needed {
+	if found == Slow && !s.group.reportedSince(s.foundSince) {
+		if now.Sub(s.foundSince) < spreadTime {
+			return s.group.ask(now, s)
+		}
+	}
+	if now.Sub(s.badSince) < confirmTime {
 		return nil
 	}
 	return s.eject(now, found, c)
 }
 
+// ask asks the guards of s and its peers that have not reported since it was found slow.
+func (g *group) ask(now time.Time, s *server) []decision.Action {
+	var actions []decision.Action
+	for _, peer := range g.kept {
+		asked := now.Sub(peer.askedAt) < askInterval
+		if asked || peer.reportAt.After(s.foundSince) || len(actions) == maxAsked {
+			continue
+		}
+		peer.askedAt = now
+		actions = append(actions, Ask{Backend: peer.backend.ID})
+	}
+	return actions
+}
+
 // reportedSince tells whether most servers that take work have reported since then.
 func (g *group) reportedSince(then time.Time) bool {
 	reported := 0
--- a/choice/scenario/detection_test.go
+++ b/choice/scenario/detection_test.go
@@ -177,23 +177,30 @@
 // TestAllSlow makes every backend server slow at once: none is an outlier.
 func TestAllSlow(t *testing.T) {
 	for _, s := range deployments {
-		t.Run(s.name, func(t *testing.T) {
-			w := newWorld(s.of(1))
-			w.rate = 6
-			w.load()
-			w.run(30 * time.Second)
-			n := 0
-			w.actions = func(_ int, a decision.Action) {
-				if _, ok := a.(picker.Ejected); ok {
-					n++
+		for _, rate := range []float64{3, 6, 20} {
+			t.Run(fmt.Sprintf("%s/%v a second", s.name, rate), func(t *testing.T) {
+				n := 0
+				for seed := range *seeds {
+					w := newWorld(s.of(seed))
+					w.rate = rate
+					w.load()
+					w.run(30 * time.Second)
+					w.actions = func(_ int, a decision.Action) {
+						if _, ok := a.(picker.Ejected); ok {
+							n++
+						}
+					}
+					for _, m := range w.servers {
+						m.fault.slow = 5
+					}
+					w.run(20 * time.Second)
 				}
-			}
-			for _, m := range w.servers {
-				m.fault.slow = 5
-			}
-			w.run(30 * time.Second)
-			t.Logf("%d ejections in 30 s over %d ingresses", n, w.ingresses)
-		})
+				t.Logf("%d ejections in 20 s, %d seeds, %d ingresses", n, *seeds, s.of(0).ingresses)
+				if n > 0 {
+					t.Errorf("%d ejections", n)
+				}
+			})
+		}
 	}
 }
 
