--- a/choice/fairqueue/fairqueue.go
+++ b/choice/fairqueue/fairqueue.go
@@ -77,6 +77,15 @@
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return q.length }
 
+// Flows returns the number of flows that are kept, waiting or not.
+func (q *Queue) Flows() int {
+	n := 0
+	for c := range q.classes {
+		n += len(q.classes[c].flows)
+	}
+	return n
+}
+
 // Push adds a request at the end of its organisation's flow.
 func (q *Queue) Push(item Item) {
 	l := &q.classes[item.Class]
