Bound the roster's backlog and measure its traffic

Cause: after the whole fleet announced at once, 3,280 deltas waited in every queue: 2,776 B/s a daemon at 410 for many minutes, and sorting them cost 475 s for 2.5 min of virtual time. Change: at most 128 queued deltas, what a synchronisation brought is not told on, a daemon lacking 16 records asks without waiting for quiet, gone and dead rows are found without sorting all. A daemon in silence doubts itself at once: before, one cut off had two members declared dead by all others on its return (71 reports, TestSingleDaemonCutOff...), now none.

--- a/fleet/roster/exchange.go
+++ b/fleet/roster/exchange.go
@@ -68,7 +68,7 @@
 		r.emit(Reply{Message: r.message(Acknowledgement)})
 		return
 	}
-	r.merge(m.Deltas)
+	r.merge(m.Deltas, true)
 	reply := r.message(Acknowledgement)
 	switch m.Kind {
 	case Sync:
@@ -122,7 +122,7 @@
 		answer.Target, answer.Nonce = asked.target, asked.nonce
 		r.send(asked.requester, "", answer)
 	}
-	r.merge(m.Deltas)
+	r.merge(m.Deltas, !c.sync)
 	if m.Stranger {
 		r.queue.add(r.self)
 		r.pushFresh()
@@ -156,16 +156,23 @@
 	r.conclude(p.target, true)
 }
 
+// syncDifference is the number of records by which another daemon's tables must be
+// larger to be asked for them while changes are on their way.
+const syncDifference = 16
+
 // considerSync asks a daemon whose tables differ for its records: at once while
-// this one knows less than half as much, else when no change is on its way.
+// this one knows less than half as much, else when no change is on its way or much
+// is lacking.
 func (r *Roster) considerSync(m Message, wasSync bool) {
 	if m.Hash == r.table.hash() {
 		return
 	}
 	joining := 2*r.table.size < m.Size
 	progress := wasSync && len(m.Deltas) > 0 && r.changedAt.Equal(r.now)
-	settled := r.now.Sub(r.changedAt) >= quietTime && r.now.Sub(r.syncedAt) >= syncInterval
-	if !joining && !progress && !settled {
+	lacking := m.Size >= r.table.size+syncDifference
+	settled := r.now.Sub(r.changedAt) >= quietTime || lacking
+	due := settled && r.now.Sub(r.syncedAt) >= syncInterval
+	if !joining && !progress && !due {
 		return
 	}
 	r.syncedAt = r.now
--- a/fleet/roster/expiry.go
+++ b/fleet/roster/expiry.go
@@ -9,9 +9,8 @@
 // expire declares suspected members dead and forgets what is old.
 func (r *Roster) expire() {
 	doubtful := r.reach.doubtful(r.now)
-	for _, row := range r.table.sorted() {
+	for _, row := range r.table.troubled() {
 		switch {
-		case row.delta.ID == r.self.ID:
 		case row.state() == member.Suspect && !r.now.Before(row.suspectUntil):
 			if doubtful {
 				row.suspectUntil = r.now.Add(SuspicionTimeout)
@@ -22,10 +21,16 @@
 			r.table.removeMember(row.delta.ID)
 		}
 	}
-	if r.now.Sub(r.cleanedAt) < time.Second {
-		return
+	if r.table.gone > 0 && r.now.Sub(r.cleanedAt) >= goneInterval {
+		r.cleanedAt = r.now
+		r.forgetGone()
 	}
-	r.cleanedAt = r.now
+}
+
+// goneInterval is the time between searches for backend servers to forget.
+const goneInterval = 10 * time.Second
+
+func (r *Roster) forgetGone() {
 	for id := range r.table.backends {
 		for _, beside := range r.table.besides(id) {
 			if beside.gone() && r.now.Sub(beside.since) > GoneRetention {
@@ -55,7 +60,7 @@
 	if !r.watches || r.reach.doubtful(r.now) {
 		return
 	}
-	for _, row := range r.table.sorted() {
+	for _, row := range r.table.troubled() {
 		if row.alive() || row.cleaned || r.now.Sub(row.since) < cleanAfter {
 			continue
 		}
--- a/fleet/roster/merge.go
+++ b/fleet/roster/merge.go
@@ -5,8 +5,11 @@
 	"berylpass/fleet/member"
 )
 
-// merge takes deltas in; what is new here is told on.
-func (r *Roster) merge(deltas []Delta) {
+// merge takes deltas in; what is new here is told on if the deltas are news rather
+// than the answer to a synchronisation.
+func (r *Roster) merge(deltas []Delta, news bool) {
+	r.tellsOn = news
+
 	for _, d := range deltas {
 		switch {
 		case !d.valid():
@@ -60,7 +63,9 @@
 		r.probing.forget(row.delta.ID)
 	}
 	r.touch()
-	r.queue.add(brief(row.delta))
+	if r.tellsOn {
+		r.queue.add(brief(row.delta))
+	}
 	r.emit(MemberChanged{Member: row.member()})
 	if row.alive() != wasAlive {
 		r.emitBackends(row)
@@ -116,7 +121,9 @@
 	}
 	row = r.table.setBackend(d, r.now)
 	r.touch()
-	r.queue.add(d)
+	if r.tellsOn {
+		r.queue.add(d)
+	}
 	if owner.alive() {
 		r.emit(BackendChanged{Backend: row.backend()})
 	}
@@ -124,6 +131,7 @@
 
 // mergeRecords takes records of the store in.
 func (r *Roster) mergeRecords(records []Record) {
+	r.tellsOn = false
 	for _, record := range records {
 		m := record.Member
 		d := Delta{
--- a/fleet/roster/probe.go
+++ b/fleet/roster/probe.go
@@ -200,7 +200,7 @@
 	}
 	p.reconnectAt = r.now.Add(interval)
 	var dead []member.ID
-	for _, row := range r.table.sorted() {
+	for _, row := range r.table.troubled() {
 		if !row.alive() && !row.delta.Left {
 			dead = append(dead, row.delta.ID)
 		}
--- a/fleet/roster/queue.go
+++ b/fleet/roster/queue.go
@@ -8,6 +8,10 @@
 // pushFanout is the number of neighbours to which a fresh delta is pushed at once.
 const pushFanout = 3
 
+// maxQueued is the number of deltas that wait at once; beyond it those that were
+// sent most give way, and synchronisation carries them on.
+const maxQueued = 128
+
 // queued is a delta on its way to others.
 type queued struct {
 	delta Delta
@@ -29,6 +33,28 @@
 // add puts a delta in place of an older one of the same record.
 func (q *queue) add(d Delta) {
 	q.deltas[key{d.ID, d.Backend}] = &queued{delta: d}
+	if len(q.deltas) > maxQueued {
+		entries := q.sorted(func(*queued) bool { return true })
+		last := entries[len(entries)-1].delta
+		delete(q.deltas, key{last.ID, last.Backend})
+	}
+}
+
+// sorted returns the wanted deltas, those that were sent least first.
+func (q *queue) sorted(wanted func(*queued) bool) []*queued {
+	var entries []*queued
+	for _, e := range q.deltas {
+		if wanted(e) {
+			entries = append(entries, e)
+		}
+	}
+	slices.SortFunc(entries, func(a, b *queued) int {
+		if a.sent != b.sent {
+			return a.sent - b.sent
+		}
+		return key{a.delta.ID, a.delta.Backend}.compare(key{b.delta.ID, b.delta.Backend})
+	})
+	return entries
 }
 
 // take returns the deltas that were sent least, up to limit bytes, and counts them as sent.
@@ -51,21 +77,9 @@
 	if len(q.deltas) == 0 {
 		return nil
 	}
-	var entries []*queued
-	for _, e := range q.deltas {
-		if wanted(e) {
-			entries = append(entries, e)
-		}
-	}
-	slices.SortFunc(entries, func(a, b *queued) int {
-		if a.sent != b.sent {
-			return a.sent - b.sent
-		}
-		return key{a.delta.ID, a.delta.Backend}.compare(key{b.delta.ID, b.delta.Backend})
-	})
 	var taken []Delta
 	most := bits.Len(uint(fleetSize)) + 1
-	for _, e := range entries {
+	for _, e := range q.sorted(wanted) {
 		if limit -= e.delta.size(); limit < 0 && len(taken) > 0 {
 			break
 		}
--- a/fleet/roster/reach.go
+++ b/fleet/roster/reach.go
@@ -74,7 +74,8 @@
 			answered++
 		}
 	}
-	return answered*doubtShare < probeWindow && !r.storeFresh(now)
+	silent := r.lonely(now) || answered*doubtShare < probeWindow
+	return silent && !r.storeFresh(now)
 }
 
 // wantsCheck reports whether it is time to check the store, and notes the check.
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -79,6 +79,8 @@
 	// moved tells that neighbours and the watcher's role must be worked out again.
 	moved   bool
 	watches bool
+	// tellsOn tells that what is merged at present goes into the queue.
+	tellsOn bool
 	joined  bool
 	version uint64
 
@@ -123,6 +125,7 @@
 func (r *Roster) Update(now time.Time, event decision.Event) []decision.Action {
 	r.now = now
 	r.out = nil
+	r.tellsOn = true
 	switch e := event.(type) {
 	case Tick:
 		r.tick()
--- a/fleet/roster/table.go
+++ b/fleet/roster/table.go
@@ -72,6 +72,8 @@
 	backends map[member.ID]map[backend.ID]*backendRow
 	buckets  [bucketCount]uint32
 	size     int
+	// gone is the number of backend servers that left and are remembered.
+	gone int
 }
 
 func newTable() table {
@@ -125,21 +127,24 @@
 	if row == nil {
 		row = &backendRow{}
 		beside[d.Backend] = row
-	} else if !row.gone() {
-		t.account(row.delta, -1)
+	} else {
+		t.accountBackend(row, -1)
 	}
 	row.delta, row.since = d, now
-	if !row.gone() {
-		t.account(d, 1)
-	}
+	t.accountBackend(row, 1)
 	return row
 }
 
-func (t *table) removeBackend(d Delta) {
-	row := t.backends[d.ID][d.Backend]
-	if !row.gone() {
-		t.account(row.delta, -1)
+func (t *table) accountBackend(row *backendRow, sign int) {
+	if row.gone() {
+		t.gone += sign
+		return
 	}
+	t.account(row.delta, sign)
+}
+
+func (t *table) removeBackend(d Delta) {
+	t.accountBackend(t.backends[d.ID][d.Backend], -1)
 	delete(t.backends[d.ID], d.Backend)
 }
 
@@ -166,15 +171,31 @@
 	return rows
 }
 
+// troubled returns the suspected and the dead members in order of IDs.
+func (t *table) troubled() []*memberRow {
+	var rows []*memberRow
+	for _, row := range t.members {
+		if row.state() == member.Suspect || row.state() == member.Dead {
+			rows = append(rows, row)
+		}
+	}
+	sortRows(rows)
+	return rows
+}
+
+func sortRows(rows []*memberRow) {
+	slices.SortFunc(rows, func(a, b *memberRow) int {
+		return strings.Compare(string(a.delta.ID), string(b.delta.ID))
+	})
+}
+
 // sorted returns all members in order of IDs.
 func (t *table) sorted() []*memberRow {
 	rows := make([]*memberRow, 0, len(t.members))
 	for _, row := range t.members {
 		rows = append(rows, row)
 	}
-	slices.SortFunc(rows, func(a, b *memberRow) int {
-		return strings.Compare(string(a.delta.ID), string(b.delta.ID))
-	})
+	sortRows(rows)
 	return rows
 }
 
