--- a/choice/evidence/evidence.go
+++ b/choice/evidence/evidence.go
@@ -42,6 +42,9 @@
 	agedFactor = 4
 	// minSpread is the least spread that service times are credited with.
 	minSpread = 0.3
+	// risen and fallen are the evidence of slowness, in nats, from which service
+	// times count as changed and as back to what was usual.
+	risen, fallen = 8, 1
 	// maxSlownessStep bounds the evidence, in nats, of one service time.
 	maxSlownessStep = 3
 
@@ -49,7 +52,7 @@
 	usualErrors  = 0.01
 	raisedErrors = 0.2
 	// Max bounds the evidence of errors and of slowness in nats, so that it can fall again.
-	Max = 30
+	Max = 20
 )
 
 var (
@@ -64,6 +67,7 @@
 type Evidence struct {
 	short, long, usual [class.Count]window.Window
 	errors, slowness   float64
+	changed            bool
 	completed          uint16
 }
 
@@ -123,12 +127,21 @@
 		}
 	}
 	w := long
-	spread := max(long.Spread(), minSpread)
+	spread := e.spread(now, c)
 	n := short.Samples(now)
 	if n >= shortSamples && math.Abs(short.Mean()-usual) >= changeSigmas*spread/math.Sqrt(n) {
 		w = short
 	}
-	return report.Level{Time: fromLog(w.Mean()), Spread: long.Spread(), Samples: w.Samples(now)}
+	return report.Level{Time: fromLog(w.Mean()), Spread: spread, Samples: w.Samples(now)}
+}
+
+// spread returns the usual spread of the service times of class c.
+func (e *Evidence) spread(now time.Time, c class.Class) float64 {
+	u := e.usual[c]
+	if u.Samples(now) < usualSamples {
+		u = e.long[c]
+	}
+	return max(u.Spread(), minSpread)
 }
 
 // Errors returns the evidence of a raised error share in nats, from 0 to Max.
@@ -159,6 +172,17 @@
 	e.short[c].Add(now, x)
 	e.long[c].Add(now, x)
 	e.usual[c].Add(now, x)
+	if !e.changed && e.slowness >= risen || e.changed && e.slowness < fallen {
+		e.changed = !e.changed
+		e.forget()
+	}
+}
+
+// forget drops from the long windows what lies before a change.
+func (e *Evidence) forget() {
+	for c := range e.long {
+		e.long[c] = e.short[c].WithSpan(longSpan)
+	}
 }
 
 // step returns the log-likelihood ratio of one service time x, a logarithm.
--- a/choice/limiter/limiter.go
+++ b/choice/limiter/limiter.go
@@ -1,7 +1,7 @@
 // Package limiter bounds how many requests run at once on one backend server.
 //
 // A freshly started backend server gets one request at a time, and all its slots
-// after the ramp. The limit is halved on signs that a warm backend server bears
+// after the ramp. The limit is cut on signs that a warm backend server bears
 // less than its slots: it sheds, it resets connections, or its service times jump
 // above their own history. After a cut for service times the limiter checks
 // whether less load made them shorter; if it did not, the cut was no help and the
@@ -25,8 +25,10 @@
 )
 
 const (
-	// cutFactor is the share of the limit that a cut leaves.
-	cutFactor = 0.5
+	// refusalCut and jumpCut are the shares of the limit that are left by a cut
+	// after a refusal and after a jump of the service times.
+	refusalCut = 0.5
+	jumpCut    = 0.7
 	// cutInterval is the least time between two cuts.
 	cutInterval = 250 * time.Millisecond
 	// usualSpan is the time constant of the usual service time.
@@ -55,6 +57,9 @@
 type Limiter struct {
 	slots int
 	ramp  time.Duration
+	// started is when the backend server started.
+	started time.Time
+	// limit is the adaptive limit; the ramp bounds it too.
 	limit float64
 	at    time.Time
 	// cutAt is the last cut; excessAtCut is the excess that caused it, zero for other causes.
@@ -68,7 +73,9 @@
 
 // New returns the limiter of a backend server that started at the time now.
 func New(now time.Time, slots int, ramp time.Duration) *Limiter {
-	l := &Limiter{slots: max(slots, 1), ramp: ramp, limit: 1, at: now, growth: 1, excess: window.New(excessSpan)}
+	slots = max(slots, 1)
+	l := &Limiter{slots: slots, ramp: ramp, started: now, limit: float64(slots), at: now, growth: 1}
+	l.excess = window.New(excessSpan)
 	for c := range l.usual {
 		l.usual[c] = window.New(usualSpan)
 	}
@@ -78,8 +85,12 @@
 // Resize sets the slots and the ramp.
 func (l *Limiter) Resize(now time.Time, slots int, ramp time.Duration) {
 	l.grow(now)
+	before := l.slots
 	l.slots, l.ramp = max(slots, 1), ramp
 	l.limit = min(l.limit, float64(l.slots))
+	if l.slots > before {
+		l.limit += float64(l.slots - before)
+	}
 }
 
 // Slots returns the number of requests at once when warm.
@@ -88,7 +99,16 @@
 // Allowed returns how many requests may run at once, from 1 to the slots.
 func (l *Limiter) Allowed(now time.Time) int {
 	l.grow(now)
-	return min(max(int(l.limit), 1), l.slots)
+	return max(int(min(l.limit, l.bears(now))), 1)
+}
+
+// bears returns what the ramp allows at the time now.
+func (l *Limiter) bears(now time.Time) float64 {
+	age := now.Sub(l.started)
+	if age >= l.ramp {
+		return float64(l.slots)
+	}
+	return 1 + float64(l.slots-1)*float64(age)/float64(l.ramp)
 }
 
 // Completed takes the end of a request that started at the given time, with
@@ -154,12 +174,16 @@
 	l.at = now
 }
 
-// cut lowers the limit to half of what ran. Excess is the cause in nats, zero for refusals.
+// cut lowers the limit to a share of what ran. Excess is the cause in nats, zero for refusals.
 func (l *Limiter) cut(now time.Time, ran int, excess float64) {
 	if now.Sub(l.cutAt) < cutInterval {
 		return
 	}
-	l.limit = max(1, cutFactor*min(l.limit, float64(ran)))
+	share := refusalCut
+	if excess > 0 {
+		share = jumpCut
+	}
+	l.limit = max(1, share*min(l.limit, l.bears(now), float64(ran)))
 	l.cutAt, l.excessAtCut, l.growth = now, excess, 1
 	l.waiting = excess > 0
 	l.excess = window.New(excessSpan)
--- a/choice/picker/judge.go
+++ b/choice/picker/judge.go
@@ -22,12 +22,21 @@
 	madLimit = 4
 	// slowSigmas is the number of standard errors that an outlier exceeds.
 	slowSigmas = 5.5
+	// slowSamples is the least number of samples that show an outlier without a rise.
+	slowSamples = 20
 	// slowEvidence is the evidence of slowness, in nats, that is significant.
 	slowEvidence = 14
+	// risingEvidence is the evidence of slowness or errors, in nats, from which
+	// the time of confirmation runs.
+	risingEvidence = 5
+	// slowPeers is the evidence of slowness at the peers from which the cause is
+	// common, upperShare the quantile of the peers that is looked at.
+	slowPeers  = 8
+	upperShare = 0.7
 	// failingEvidence is the evidence of errors, in nats, that makes an outlier.
-	failingEvidence = 14
+	failingEvidence = 12
 	// failingPeers is the evidence of errors at the median peer from which errors are common to all.
-	failingPeers = 7
+	failingPeers = 6
 	// passSigmas is the number of standard errors within which a trial is passed.
 	passSigmas = 3
 )
@@ -47,13 +56,15 @@
 	deviation float64
 	// peers is the logarithmic level of the peers, averaged over the classes.
 	peers float64
-	known bool
+	// samples is the effective number of its samples.
+	samples float64
+	known   bool
 }
 
-// slow reports whether the comparison shows an outlier. The guard's evidence
-// that service times rose stands in for a large number of samples.
-func (c comparison) slow(slowness float64) bool {
-	significant := slowness >= slowEvidence || c.ratio >= slowSigmas*c.sigma
+// slow reports whether the comparison shows an outlier. That the service times of
+// this server alone rose stands in for a large number of samples.
+func (c comparison) slow(rose bool) bool {
+	significant := rose || c.samples >= slowSamples && c.ratio >= slowSigmas*c.sigma
 	return c.known && significant && c.ratio >= max(slowRatio, madLimit*c.deviation)
 }
 
@@ -66,6 +77,8 @@
 type baseline struct {
 	levels [class.Count][]float64
 	errors []float64
+	// slowness holds the sorted evidence of slowness.
+	slowness []float64
 	// stalled and reported count servers with fresh reports.
 	stalled, reported int
 }
@@ -78,6 +91,7 @@
 			continue
 		}
 		b.errors = append(b.errors, s.report.Errors)
+		b.slowness = append(b.slowness, s.report.Slowness)
 		b.reported++
 		if s.report.Stalled > 0 {
 			b.stalled++
@@ -89,12 +103,18 @@
 		}
 	}
 	slices.Sort(b.errors)
+	slices.Sort(b.slowness)
 	for c := range b.levels {
 		slices.Sort(b.levels[c])
 	}
 	return b
 }
 
+// slowPeers returns the evidence of slowness at the upper quantile of the peers of s.
+func (b baseline) slowPeers(s *server) float64 {
+	return upper(without(b.slowness, s.report.Slowness))
+}
+
 // fresh reports whether the report of s counts.
 func (s *server) fresh(now time.Time) bool {
 	return !s.reportAt.IsZero() && now.Sub(s.reportAt) <= reportLife
@@ -125,10 +145,25 @@
 		sigma:     math.Sqrt(variance) / weight,
 		deviation: madScale * deviation / weight,
 		peers:     peers / weight,
+		samples:   weight,
 		known:     true,
 	}
 }
 
+// rising returns what may come to speak against s at the time now.
+func (s *server) rising(now time.Time, b baseline) Reason {
+	if !s.fresh(now) {
+		return None
+	}
+	switch {
+	case s.report.Errors-median(without(b.errors, s.report.Errors)) >= risingEvidence:
+		return Failing
+	case s.report.Slowness >= risingEvidence && b.slowPeers(s) < slowPeers:
+		return Slow
+	}
+	return None
+}
+
 // suspicion returns what speaks against s at the time now.
 func (s *server) suspicion(now time.Time, b baseline, c comparison) Reason {
 	if n, _ := s.silent(now); n >= silentRequests && s.path.probation.State == probation.Clear {
@@ -142,7 +177,7 @@
 		return Stalled
 	case s.report.Errors >= failingEvidence && median(without(b.errors, s.report.Errors)) < failingPeers:
 		return Failing
-	case c.slow(s.report.Slowness):
+	case c.slow(s.report.Slowness >= slowEvidence && b.slowPeers(s) < slowPeers):
 		return Slow
 	}
 	return None
@@ -166,6 +201,14 @@
 	return (sorted[(n-1)/2] + sorted[n/2]) / 2
 }
 
+// upper returns the upper quantile of sorted values, zero if there are none.
+func upper(sorted []float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[int(upperShare*float64(len(sorted)-1))]
+}
+
 // scatter returns the median absolute deviation from m.
 func scatter(values []float64, m float64) float64 {
 	deviations := make([]float64, 0, len(values))
--- a/choice/scenario/world_test.go
+++ b/choice/scenario/world_test.go
@@ -62,6 +62,8 @@
 	gossip   time.Duration
 	deadline time.Duration
 	orgs     []string
+	// fifo replaces the gates by plain queues in the order of arrival, without reports.
+	fifo bool
 }
 
 // world joins pickers, gates and the model of backend servers.
@@ -76,11 +78,11 @@
 	names   []backend.ID
 	calls   map[id.ID]*call
 	next    uint64
+	asked   int
 	// cut holds ingresses whose answers from a member are lost.
 	cut      map[int]backend.ID
 	actions  func(ingress int, a decision.Action)
 	answered func(c *call, v verdict.Verdict)
-	stop     time.Time
 }
 
 // call is a request on its way.
@@ -93,7 +95,6 @@
 	sent, begun  time.Time
 	expires      time.Time
 	tried        []backend.ID
-	done         bool
 }
 
 const hop = 500 * time.Microsecond
@@ -118,8 +119,11 @@
 		}
 	}
 	for i := range w.pickers {
-		w.every(200*time.Millisecond, w.jitter(200*time.Millisecond), func() {
+		w.every(100*time.Millisecond, w.jitter(100*time.Millisecond), func() {
 			for _, a := range w.pickers[i].Update(w.now, picker.Tick{}) {
+				if ask, ok := a.(picker.Ask); ok {
+					w.ask(i, ask.Backend)
+				}
 				w.actions(i, a)
 			}
 		})
@@ -140,7 +144,7 @@
 		p.Update(w.now, picker.ServiceSeen{Service: sv})
 		p.Update(w.now, picker.BackendSeen{Backend: b, Datacentre: "dc", SameDatacentre: true, InService: true})
 	}
-	w.every(100*time.Millisecond, w.jitter(100*time.Millisecond), func() { m.handle(m.gate.Update(w.now, gate.Tick{})) })
+	w.every(50*time.Millisecond, w.jitter(50*time.Millisecond), func() { m.handle(m.gate.Update(w.now, gate.Tick{})) })
 }
 
 // at schedules a step after a delay.
@@ -256,7 +260,7 @@
 
 func (w *world) observe(r *call, attempt id.ID, from backend.ID, v verdict.Verdict, reported bool) {
 	o := picker.Observed{Attempt: attempt, Backend: from, Class: r.class, Took: w.now.Sub(r.sent), Verdict: v}
-	if reported {
+	if reported && !w.fifo {
 		rep, _ := w.servers[from].gate.Report(w.now, from)
 		packed, _ := rep.MarshalBinary()
 		_ = rep.UnmarshalBinary(packed)
@@ -267,6 +271,22 @@
 	}
 }
 
+// ask brings the report of a guard to an ingress, or the lack of one.
+func (w *world) ask(ingress int, of backend.ID) {
+	w.asked++
+	o := picker.Observed{Backend: of, Verdict: verdict.PathFailure}
+	delay := picker.AskTimeout
+	if at, ok := w.cut[ingress]; !ok || at != of {
+		r, _ := w.servers[of].gate.Report(w.now, of)
+		o.Verdict, o.Report, delay = verdict.Shed, &r, 2*hop
+	}
+	w.after(delay, func() {
+		for _, a := range w.pickers[ingress].Update(w.now, o) {
+			w.actions(ingress, a)
+		}
+	})
+}
+
 // spread brings a notice to every ingress.
 func (w *world) spread(n gate.Notice) {
 	if w.gossip == 0 {
