--- a/operate/burn/recorder_test.go
+++ b/operate/burn/recorder_test.go
@@ -162,6 +162,16 @@
 	}
 }
 
+func TestClockThatGoesBack(t *testing.T) {
+	r := New(start)
+	for _, now := range []time.Time{start, start.Add(-48 * time.Hour), {}} {
+		r.Record(now, Sample{Route: "a", Outcome: InTime})
+	}
+	if got := r.Snapshot(start.Add(time.Minute)).Series[0].SixHours.Good; got != 3 {
+		t.Errorf("%g requests in six hours, want 3", got)
+	}
+}
+
 func TestParseRefusesOtherBytes(t *testing.T) {
 	for _, text := range []string{"", "{}", "[]", `{"taken":"2026-01-01T00:00:00Z","since":"2027-01-01T00:00:00Z"}`, strings.Repeat(" ", maxSnapshot+1)} {
 		if _, err := Parse(strings.NewReader(text)); !errors.Is(err, ErrMalformed) {
@@ -195,6 +205,24 @@
 	}
 }
 
+// BenchmarkSnapshot is one answer of a daemon under /burn.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{4200, 14000, 42000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			r := New(start)
+			for i := range n {
+				r.Record(start, Sample{Route: "route-" + strconv.Itoa(i%2500), Organisation: "organisation-" + strconv.Itoa(i/3), Outcome: InTime})
+			}
+			var text bytes.Buffer
+			for b.Loop() {
+				text.Reset()
+				r.Snapshot(start).Encode(&text)
+			}
+			b.ReportMetric(float64(text.Len())/float64(n), "B/series")
+		})
+	}
+}
+
 func BenchmarkRecord(b *testing.B) {
 	r := New(start)
 	now := start
