Do not cancel the attempt that answered; add golden sessions

The golden sessions showed it; the oracle had no rule against it. Change: the winning attempt is no longer in flight when the journey ends; the oracle refuses a Cancel of an attempt that has answered. Conclusion: a fault-free request costs no control call.

--- a/attempt/journey/ending.go
+++ b/attempt/journey/ending.go
@@ -12,6 +12,7 @@
 		return
 	}
 	if !j.begin.Repeatable || !badGateway(e.Status) {
+		a.progress = won
 		j.reply(Reply{Outcome: AnsweredOutcome, Attempt: a.id})
 		return
 	}
--- /dev/null
+++ b/attempt/journey/golden_test.go
@@ -0,0 +1,127 @@
+package journey
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"berylpass/attempt/id"
+	"berylpass/decision"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// after is an event and the time since the one before it.
+type after struct {
+	wait  time.Duration
+	event decision.Event
+}
+
+const (
+	ms     = time.Millisecond
+	second = time.Second
+)
+
+func named(n uint8) id.ID { return id.New("vm-1", 7, 42).WithAttempt(n) }
+
+var once = Begin{Deadline: epoch.Add(2 * second), MaxAttempts: 3}
+
+var repeatable = Begin{Repeatable: true, Deadline: epoch.Add(2 * second), MaxAttempts: 3, Hedge: 100 * ms}
+
+var sessions = map[string][]after{
+	"answered": {
+		{0, once}, {0, TokenDrawn{}}, {0, Picked{"rounds-1", "vm-2"}}, {30 * ms, Answered{0, named(0), 200}},
+	},
+	"over-the-limit": {{0, once}, {ms, TokenRefused{"over-limit", second}}},
+	"refused-then-answered-elsewhere": {
+		{0, once}, {0, TokenDrawn{}}, {0, Picked{"rounds-1", "vm-2"}},
+		{ms, NotRun{Attempt: 0, Reason: "draining"}}, {0, Picked{"rounds-2", "vm-3"}}, {ms, DialFailed{1}},
+		{0, Picked{"rounds-3", "vm-4"}}, {30 * ms, Answered{2, named(2), 201}},
+	},
+	"refused-everywhere": {
+		{0, once}, {0, TokenDrawn{}}, {0, Picked{"rounds-1", "vm-2"}},
+		{ms, NotRun{Attempt: 0, Reason: "key-withdrawn", Everywhere: true}},
+	},
+	"lost-and-never-run": {
+		{0, once}, {0, TokenDrawn{}}, {0, Picked{"rounds-1", "vm-2"}}, {ms, Lost{0}},
+		{ms, CancelResult{0, Unreachable}}, {ms, CancelResult{0, NeverRuns}},
+		{0, Picked{"rounds-2", "vm-3"}}, {30 * ms, Answered{1, named(1), 200}},
+	},
+	"lost-and-started": {
+		{0, once}, {0, TokenDrawn{}}, {0, Picked{"rounds-1", "vm-2"}}, {ms, Lost{0}}, {ms, CancelResult{0, MayRun}},
+	},
+	"crossed-answer": {
+		{0, once}, {0, TokenDrawn{}}, {0, Picked{"rounds-1", "vm-2"}},
+		{ms, Answered{0, id.New("vm-1", 7, 41), 200}}, {ms, CancelResult{0, MayRun}},
+	},
+	"queued-at-the-deadline": {
+		{0, once}, {0, TokenDrawn{}}, {0, Picked{"rounds-1", "vm-2"}}, {2 * second, TimerFired{Deadline}},
+		{ms, CancelResult{0, NeverRuns}}, {250 * ms, TimerFired{Grace}},
+	},
+	"guard-silent-at-the-deadline": {
+		{0, once}, {0, TokenDrawn{}}, {0, Picked{"rounds-1", "vm-2"}}, {2 * second, TimerFired{Deadline}},
+		{250 * ms, TimerFired{Grace}}, {ms, CancelResult{0, NeverRuns}},
+	},
+	"caller-left": {
+		{0, once}, {0, TokenDrawn{}}, {0, Picked{"rounds-1", "vm-2"}}, {ms, CallerLeft{}}, {ms, CancelResult{0, NeverRuns}},
+	},
+	"hedge-wins": {
+		{0, repeatable}, {0, TokenDrawn{}}, {0, Picked{"rounds-1", "vm-2"}}, {100 * ms, TimerFired{Hedge}},
+		{0, TokenDrawn{}}, {0, Picked{"rounds-2", "vm-3"}}, {20 * ms, Answered{1, named(1), 200}}, {ms, CancelResult{0, MayRun}},
+	},
+	"failed-answer-without-a-better-one": {
+		{0, repeatable}, {0, TokenDrawn{}}, {0, Picked{"rounds-1", "vm-2"}}, {20 * ms, Answered{0, named(0), 503}},
+		{0, TokenRefused{Reason: "budget"}},
+	},
+}
+
+// TestSessions compares whole journeys with their golden files. Write them anew
+// with go test ./attempt/journey -run Sessions -update.
+func TestSessions(t *testing.T) {
+	for name, session := range sessions {
+		t.Run(name, func(t *testing.T) {
+			got := play(session)
+			path := filepath.Join("testdata", name+".golden")
+			if *update {
+				if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got != string(want) {
+				t.Errorf("got\n%s\nwant\n%s", got, want)
+			}
+		})
+	}
+}
+
+func play(session []after) string {
+	var out strings.Builder
+	j, now := New(named(0)), epoch
+	for _, s := range session {
+		now = now.Add(s.wait)
+		fmt.Fprintf(&out, "%v %s\n", now.Sub(epoch), text(s.event))
+		for _, action := range j.Update(now, s.event) {
+			fmt.Fprintf(&out, "  -> %s\n", text(action))
+		}
+	}
+	return out.String()
+}
+
+// text writes a message with its times counted from the start.
+func text(message any) string {
+	switch m := message.(type) {
+	case Begin:
+		return fmt.Sprintf("Begin repeatable=%t deadline=%v attempts=%d hedge=%v", m.Repeatable, m.Deadline.Sub(epoch), m.MaxAttempts, m.Hedge)
+	case SetTimer:
+		return fmt.Sprintf("SetTimer %d at %v", m.Timer, m.At.Sub(epoch))
+	}
+	return strings.TrimPrefix(fmt.Sprintf("%T%+v", message, message), "journey.")
+}
--- a/attempt/journey/journey.go
+++ b/attempt/journey/journey.go
@@ -56,6 +56,8 @@
 	mayRun
 	// failed means that its whole answer says that the backend server failed.
 	failed
+	// won means that its answer is the caller's.
+	won
 )
 
 type attempt struct {
--- a/attempt/journey/world_test.go
+++ b/attempt/journey/world_test.go
@@ -150,6 +150,9 @@
 		case Dispatch:
 			w.dispatch(r, a)
 		case Cancel:
+			if w.sent[a.ID].carried == a.ID {
+				w.t.Fatalf("attempt %v has answered and is cancelled", a.ID)
+			}
 			w.cancel(w.sent[a.ID])
 		case SetTimer:
 			r.timers = append(r.timers, a)
