Fence earlier processes' writes and answers that come twice

A doubled answer freed the queue of a holder while a message was under way, and items for the same organisation multiplied without bound. Change: a process writes each record once before it uses shares or counts promises; only the answer to the message under way moves the queue; equal wishes are sent once.

--- a/limit/enforcer/draw.go
+++ b/limit/enforcer/draw.go
@@ -28,8 +28,8 @@
 			return token, nil
 		}
 		refusal := &Refusal{Organisation: organisation, Reason: reason(verdict), RetryAfter: retryAfter}
-		tooLong := now.Sub(start)+retryAfter > MaxWait || e.waiters[organisation] >= maxWaiters
-		if verdict != limiter.Waiting && tooLong {
+		tooLong := verdict != limiter.Waiting && now.Sub(start)+retryAfter > MaxWait
+		if tooLong || e.waiters[organisation] >= maxWaiters {
 			e.mu.Unlock()
 			return Token{}, refusal
 		}
--- a/limit/enforcer/enforcer.go
+++ b/limit/enforcer/enforcer.go
@@ -47,7 +47,7 @@
 	// MaxWait bounds the time that a draw waits for an organisation's next token.
 	MaxWait = 100 * time.Millisecond
 	// maxWaiters bounds the draws of one organisation that wait at the same time.
-	maxWaiters = 64
+	maxWaiters = 256
 	// callTimeout bounds a call to another daemon.
 	callTimeout = 300 * time.Millisecond
 	// storeTimeout bounds a call to the store.
--- a/limit/lease/lease.go
+++ b/limit/lease/lease.go
@@ -25,7 +25,9 @@
 //	shares := l.Usable(now)
 //
 // A lease forgets nothing while its process lives. A new process must not trust a
-// record that it did not read from the store: its own vote may be missing.
+// record that it did not read from the store: its own vote may be missing. It must also
+// write the record once before it uses a share or counts a promise: a write of the earlier
+// process may still be on its way.
 package lease
 
 import (
@@ -42,6 +44,8 @@
 	renewalDelay = 2 * time.Second
 	// renewalInterval is the least time between two renewals in the store.
 	renewalInterval = term.Lease / 3
+	// conflictDelay is the least time after a failed renewal before the next.
+	conflictDelay = 300 * time.Millisecond
 )
 
 // Lease is a daemon's part in one shard.
@@ -50,6 +54,9 @@
 	shard int
 	// ready is when everything that an earlier process of this daemon gave has surely ended.
 	ready time.Time
+	// fenced is set once this process has written the record: what an earlier process
+	// wrote and the store still delays can no longer take effect.
+	fenced bool
 
 	known   bool
 	record  allotment.Record
@@ -109,7 +116,7 @@
 
 // Fresh marks the shard as one that no earlier process of this daemon can have
 // held shares of: there is nothing to wait for. Call it before Learn.
-func (l *Lease) Fresh(now time.Time) { l.ready = now }
+func (l *Lease) Fresh(now time.Time) { l.ready, l.fenced = now, true }
 
 // Shard returns the number of the shard.
 func (l *Lease) Shard() int { return l.shard }
@@ -179,7 +186,7 @@
 // Until returns the end of the daemon's lease on its own shares. A sole holder has no end:
 // nobody can vote against it.
 func (l *Lease) Until(now time.Time) time.Time {
-	if !l.Holds() || now.Before(l.ready) {
+	if !l.Holds() || !l.fenced || now.Before(l.ready) {
 		return time.Time{}
 	}
 	others := l.record.Others(l.self)
@@ -237,5 +244,5 @@
 
 // WantsLoan reports whether the daemon should ask its co-holders for their shares.
 func (l *Lease) WantsLoan(now time.Time) bool {
-	return l.Holds() && !now.Before(l.ready) && !now.Before(l.lentUntil) && !now.Before(l.stoppedUntil)
+	return l.Holds() && l.fenced && !now.Before(l.ready) && !now.Before(l.lentUntil) && !now.Before(l.stoppedUntil)
 }
--- a/limit/lease/write.go
+++ b/limit/lease/write.go
@@ -76,11 +76,14 @@
 // needsRenewal reports whether the store has to keep the daemon in its lease: no promise does,
 // a vote stands against it, or a write with an unknown outcome must be overtaken.
 func (l *Lease) needsRenewal(now time.Time) bool {
+	if now.Before(l.renewAt) {
+		return false
+	}
 	others := l.record.Others(l.self)
-	if len(others) == 0 || now.Before(l.renewAt) {
-		return l.writtenOver != 0 && !now.Before(l.renewAt)
+	if len(others) == 0 {
+		return !l.fenced || l.writtenOver != 0
 	}
-	if l.writtenOver != 0 || len(l.record.Votes[l.self]) > 0 {
+	if !l.fenced || l.writtenOver != 0 || len(l.record.Votes[l.self]) > 0 {
 		return true
 	}
 	horizon := now.Add(term.Lease - renewalDelay)
@@ -100,8 +103,9 @@
 		if w.renewal {
 			l.ownUntil = w.asked.Add(term.Lease)
 		}
-		l.writtenOver = 0
+		l.writtenOver, l.fenced = 0, true
 	case Failed:
+		l.renewAt = earlier(l.renewAt, w.asked.Add(conflictDelay))
 		if w.donates {
 			l.donation = donation{}
 		}
@@ -110,6 +114,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Give plans to make to the owner of the daemon's last n shares: they rest from now on
 // until what was granted or lent from them has ended, and are then given away in the
 // store. It does nothing while another donation is planned.
--- a/limit/limiter/draw.go
+++ b/limit/limiter/draw.go
@@ -65,7 +65,9 @@
 // queue holds what is to be asked of one holder; one message at a time is under way.
 type queue struct {
 	inFlight bool
-	items    []message.BorrowItem
+	// sentAt is the time of the message under way.
+	sentAt time.Time
+	items  []message.BorrowItem
 }
 
 // Draw takes a token for one dispatch. again tells that the same request has drawn
@@ -179,7 +181,7 @@
 		if q.inFlight || len(q.items) == 0 {
 			continue
 		}
-		borrow := message.Borrow{From: l.self, Items: q.items}
+		borrow := message.Borrow{From: l.self, Items: distinct(q.items)}
 		q.items = nil
 		for i := range borrow.Items {
 			l.complete(now, &borrow.Items[i])
@@ -190,12 +192,23 @@
 			actions = append(actions, l.met(now, now, to, borrow, reply)...)
 			continue
 		}
-		q.inFlight = true
+		q.inFlight, q.sentAt = true, now
 		actions = append(actions, SendBorrow{At: now, To: to, Borrow: borrow})
 	}
 	return actions
 }
 
+// distinct returns the items without those that ask for the same again, in order.
+func distinct(items []message.BorrowItem) []message.BorrowItem {
+	var kept []message.BorrowItem
+	for _, item := range items {
+		if !slices.Contains(kept, item) {
+			kept = append(kept, item)
+		}
+	}
+	return kept
+}
+
 // complete fills in how many requests wait and how many come, as of the time of sending.
 func (l *Limiter) complete(now time.Time, item *message.BorrowItem) {
 	waiting := 0
@@ -209,6 +222,10 @@
 
 // borrowed takes in the answer to a SendBorrow, or that there was none.
 func (l *Limiter) borrowed(now time.Time, e Borrowed) []decision.Action {
+	if q := l.queue(e.From); !q.inFlight || !q.sentAt.Equal(e.At) {
+		l.keep(now, e)
+		return nil
+	}
 	l.queue(e.From).inFlight = false
 	if !e.Failed {
 		actions := l.met(now, e.At, e.From, e.Sent, e.Reply)
@@ -222,6 +239,18 @@
 	return append(actions, l.flush(now)...)
 }
 
+// keep takes in the grants of an answer that comes a second time or after the call was given up.
+func (l *Limiter) keep(now time.Time, e Borrowed) {
+	for _, g := range e.Reply.Items {
+		switch g.Verdict {
+		case message.Lent:
+			l.borrower.Lent(e.At, now, e.From, g.Organisation, g.Grant)
+		case message.Extended:
+			l.borrower.Extended(e.At, now, e.From, g.Organisation, g.Grant)
+		}
+	}
+}
+
 // met takes in what a holder answered.
 func (l *Limiter) met(now, asked time.Time, from member.ID, sent message.Borrow, reply message.Borrowed) []decision.Action {
 	var actions []decision.Action
