Replace watchers that lost sight of the store; synchronise bucket by bucket

Cause: with the chosen watchers blind and others seeing the store, nobody watched (a test over real sockets stayed at the old revision for 15 s). Found too: a joining daemon asked many peers at once for overlapping records, and both sides of a region cut removed each other's records from the store. Change: the number of watchers per data centre doubles every 2 s once no daemon is known to have reached the store for 10 s; those that see it yield to the one first in order. Buckets are by member, one synchronisation is open at a time. Records are removed by watchers of the same data centre after a minute, by others after 30 min. Calls to a silent store back off to 15 s.

--- a/config/revision/follower.go
+++ b/config/revision/follower.go
@@ -18,6 +18,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,10 @@
 	notifyTimeout = time.Second
 	// watchBackoff is the pause after a watch that failed.
 	watchBackoff = time.Second
+	// roleInterval is the time between looks at whether this daemon is to watch.
+	roleInterval = 200 * time.Millisecond
+	// maxWatchBackoff bounds the pause, which doubles with each failure.
+	maxWatchBackoff = 15 * time.Second
 )
 
 var (
@@ -281,18 +286,20 @@
 
 // watchLoop follows the store while membership wants this daemon to.
 func (f *Follower) watchLoop() {
-	after := uint64(0)
+	after, backoff := uint64(0), watchBackoff
 	for f.ctx.Err() == nil {
 		if !f.fleet.WatchesStore() {
-			after = 0
-			f.pause(watchBackoff)
+			after, backoff = 0, watchBackoff
+			f.pause(roleInterval)
 			continue
 		}
 		objects, version, err := f.store.Watch(f.ctx, CurrentKey, after)
 		if err != nil {
-			f.pause(watchBackoff)
+			f.pause(backoff/2 + rand.N(backoff/2))
+			backoff = min(2*backoff, maxWatchBackoff)
 			continue
 		}
+		backoff = watchBackoff
 		if len(objects) > 0 || version < after {
 			f.update(spread.StoreChanged{})
 		}
--- a/fleet/roster/exchange.go
+++ b/fleet/roster/exchange.go
@@ -16,6 +16,7 @@
 	}
 	if age := r.now.Sub(r.reach.evidenceAt); !r.reach.evidenceAt.Equal(r.started) && age < time.Hour {
 		m.Evidence = uint64(age.Milliseconds()) + 1
+		m.EvidenceFrom = r.reach.evidenceFrom
 	}
 	return m
 }
@@ -72,7 +73,7 @@
 	reply := r.message(Acknowledgement)
 	switch m.Kind {
 	case Sync:
-		reply.Deltas = bounded(r.table.differing(m.Buckets), r.random.IntN(1<<16))
+		reply.Deltas = r.table.differing(m.Buckets, r.random.IntN(bucketCount), syncReplyDeltas)
 	case RelayRequest:
 		r.probeFor(m)
 	case RelayAnswer:
@@ -94,6 +95,9 @@
 		return false
 	}
 	r.reach.heard(r.now)
+	if m.Evidence > 0 && r.yieldsTo(m.EvidenceFrom) {
+		r.reach.elsewhere(r.now.Add(-m.evidenceAge()))
+	}
 	if row != nil && m.Incarnation == row.delta.Incarnation {
 		row.revision = max(row.revision, m.Revision)
 	}
@@ -106,13 +110,13 @@
 	p := r.probing.open[seq]
 	c, waited := r.probing.calls[seq]
 	delete(r.probing.open, seq)
-	delete(r.probing.calls, seq)
+	r.settled(seq)
 	if !waited || !r.header(m) {
 		return
 	}
 	if m.Evidence > 0 {
 		// Counted from the time of the call, so that no delay on the way makes it younger.
-		r.reach.evidence(c.sentAt.Add(-time.Duration(m.Evidence-1) * time.Millisecond))
+		r.reach.evidence(c.sentAt.Add(-m.evidenceAge()), m.EvidenceFrom)
 	}
 	if p != nil && p.watched && p.target == m.From {
 		r.conclude(p.target, true)
@@ -130,8 +134,16 @@
 	r.considerSync(m, c.sync)
 }
 
-func (r *Roster) failed(seq uint64) {
+// settled forgets a call that was answered or failed.
+func (r *Roster) settled(seq uint64) {
 	delete(r.probing.calls, seq)
+	if r.probing.syncing == seq {
+		r.probing.syncing = 0
+	}
+}
+
+func (r *Roster) failed(seq uint64) {
+	r.settled(seq)
 	if p := r.probing.open[seq]; p != nil && !p.relayed {
 		r.advance(seq)
 	}
@@ -164,7 +176,7 @@
 // this one knows less than half as much, else when no change is on its way or much
 // is lacking.
 func (r *Roster) considerSync(m Message, wasSync bool) {
-	if m.Hash == r.table.hash() {
+	if m.Hash == r.table.hash() || r.probing.syncing > 0 {
 		return
 	}
 	joining := 2*r.table.size < m.Size
@@ -178,27 +190,5 @@
 	r.syncedAt = r.now
 	request := r.message(Sync)
 	request.Buckets = slices.Clone(r.table.buckets[:])
-	r.send(m.From, "", request)
-}
-
-// bounded returns as many deltas as fit a synchronisation's answer, members first
-// and the others from a starting point that differs from call to call.
-func bounded(deltas []Delta, start int) []Delta {
-	members := 0
-	for members < len(deltas) && !deltas[members].isBackend() {
-		members++
-	}
-	kept := make([]Delta, 0, len(deltas))
-	limit := syncReplyDeltas
-	for i := range deltas {
-		d := deltas[i]
-		if rest := len(deltas) - members; i >= members {
-			d = deltas[members+(i-members+start)%rest]
-		}
-		if limit -= d.size(); limit < 0 {
-			break
-		}
-		kept = append(kept, d)
-	}
-	return kept
+	r.probing.syncing = r.send(m.From, "", request)
 }
--- a/fleet/roster/expiry.go
+++ b/fleet/roster/expiry.go
@@ -61,7 +61,11 @@
 		return
 	}
 	for _, row := range r.table.troubled() {
-		if row.alive() || row.cleaned || r.now.Sub(row.since) < cleanAfter {
+		wait := cleanForeignAfter
+		if row.delta.Datacentre == r.self.Datacentre {
+			wait = cleanAfter
+		}
+		if row.alive() || row.cleaned || r.now.Sub(row.since) < wait {
 			continue
 		}
 		row.cleaned = true
--- a/fleet/roster/message.go
+++ b/fleet/roster/message.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"time"
+
 	"berylpass/fleet/backend"
 	"berylpass/fleet/member"
 )
@@ -42,6 +44,8 @@
 	// Evidence is 1 plus the milliseconds since a daemon that the sender heard of
 	// reached the platform's store; 0 for never.
 	Evidence uint64
+	// EvidenceFrom is the daemon that reached the store then.
+	EvidenceFrom member.ID
 	// Stranger tells that the sender lacks the receiver's record.
 	Stranger bool
 	// Target and Nonce belong to RelayRequest and RelayAnswer.
@@ -52,6 +56,14 @@
 	Deltas  []Delta
 }
 
+// evidenceAge returns the time since EvidenceFrom reached the store.
+func (m Message) evidenceAge() time.Duration {
+	return time.Duration(min(m.Evidence-1, maxEvidenceAge)) * time.Millisecond
+}
+
+// maxEvidenceAge bounds the age of evidence in milliseconds.
+const maxEvidenceAge = 24 * 3600 * 1000
+
 // Delta is the state of one record: of a member, or of a backend server if
 // Backend is set. Deltas of suspected and dead members carry no addresses.
 type Delta struct {
--- a/fleet/roster/probe.go
+++ b/fleet/roster/probe.go
@@ -42,9 +42,11 @@
 
 // probing is the state of all probes of a daemon.
 type probing struct {
-	seq         uint64
-	open        map[uint64]*probe
-	calls       map[uint64]call
+	seq   uint64
+	open  map[uint64]*probe
+	calls map[uint64]call
+	// syncing is the number of the open synchronisation, 0 for none.
+	syncing     uint64
 	failures    map[member.ID]int
 	again       []member.ID
 	order       []member.ID
--- a/fleet/roster/reach.go
+++ b/fleet/roster/reach.go
@@ -1,6 +1,10 @@
 package roster
 
-import "time"
+import (
+	"time"
+
+	"berylpass/fleet/member"
+)
 
 // Limits by which a daemon judges its own links.
 const (
@@ -15,6 +19,12 @@
 	checkInterval = 3 * time.Second
 	// lonelyCheckInterval is the same for a daemon without a word from others.
 	lonelyCheckInterval = time.Second
+	// maxCheckInterval is the longest time between checks of a store that doesn't answer.
+	maxCheckInterval = 15 * time.Second
+	// takeoverAfter is the time without a daemon known to reach the store after
+	// which more daemons try; their number doubles every takeoverInterval.
+	takeoverAfter    = 10 * time.Second
+	takeoverInterval = 2 * time.Second
 	// probeWindow is the number of last probes by which links are judged.
 	probeWindow = 8
 	// doubtShare is the share of answered probes, one in doubtShare, below which a
@@ -28,14 +38,18 @@
 	// storeAt is the time at which the store last answered this daemon.
 	storeAt time.Time
 	// evidenceAt is the latest time at which any daemon is known to have reached the store.
-	evidenceAt time.Time
-	checkedAt  time.Time
-	outcomes   [probeWindow]bool
-	next       int
+	evidenceAt   time.Time
+	evidenceFrom member.ID
+	// elsewhereAt is the latest time at which a daemon that this one yields to is
+	// believed to have reached the store.
+	elsewhereAt time.Time
+	checkedAt   time.Time
+	outcomes    [probeWindow]bool
+	next        int
 }
 
 func newReach(now time.Time) reach {
-	r := reach{heardAt: now, evidenceAt: now}
+	r := reach{heardAt: now, evidenceAt: now, elsewhereAt: now}
 	for i := range r.outcomes {
 		r.outcomes[i] = true
 	}
@@ -44,15 +58,31 @@
 
 func (r *reach) heard(now time.Time) { r.heardAt = now }
 
-func (r *reach) storeSeen(since time.Time) {
+func (r *reach) storeSeen(since time.Time, self member.ID) {
 	r.storeAt = since
-	r.evidence(since)
+	r.evidence(since, self)
 }
 
-func (r *reach) evidence(at time.Time) {
+func (r *reach) evidence(at time.Time, from member.ID) {
 	if at.After(r.evidenceAt) {
-		r.evidenceAt = at
+		r.evidenceAt, r.evidenceFrom = at, from
+	}
+}
+
+func (r *reach) elsewhere(at time.Time) {
+	if at.After(r.elsewhereAt) {
+		r.elsewhereAt = at
+	}
+}
+
+// watchers returns the number of daemons per data centre that are to watch the
+// store: it doubles while none is known to reach it.
+func (r *reach) watchers(now time.Time) int {
+	silent := now.Sub(r.elsewhereAt) - takeoverAfter
+	if silent < 0 {
+		return watchersPerDatacentre
 	}
+	return watchersPerDatacentre << min(1+int(silent/takeoverInterval), 16)
 }
 
 func (r *reach) evidenceFresh(now time.Time) bool { return now.Sub(r.evidenceAt) < evidenceLimit }
@@ -84,6 +114,7 @@
 	if lonely {
 		interval = lonelyCheckInterval
 	}
+	interval = max(interval, min(maxCheckInterval, now.Sub(r.storeAt)/4))
 	if now.Sub(r.storeAt) < interval || now.Sub(r.checkedAt) < interval {
 		return false
 	}
--- a/fleet/roster/ring.go
+++ b/fleet/roster/ring.go
@@ -64,9 +64,9 @@
 	return found
 }
 
-// isWatcher reports whether self is among the members of its data centre that
-// watch the store: those with the lowest places on the first ring.
-func (t *table) isWatcher(self Delta) bool {
+// precede returns the number of members of self's data centre that come before it
+// in the order of watchers: by their places on the first ring.
+func (t *table) precede(self Delta) int {
 	own := place(self.ID, 0)
 	before := 0
 	for id, row := range t.members {
@@ -77,5 +77,5 @@
 			before++
 		}
 	}
-	return before < watchersPerDatacentre
+	return before
 }
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -51,15 +51,19 @@
 	// GoneRetention is the time for which a backend server that left is remembered.
 	GoneRetention = 2 * time.Minute
 	// DeadRetention is the time for which a dead member is remembered and tried.
-	DeadRetention = 10 * time.Minute
+	DeadRetention = time.Hour
 	// reconnectInterval is the time between probes of dead members and of seeds.
 	reconnectInterval = 5 * time.Second
 	// syncInterval is the shortest time between two requests to synchronise.
 	syncInterval = 5 * time.Second
 	// quietTime is the time without changes after which a difference is not on its way.
 	quietTime = 2 * time.Second
-	// cleanAfter is the time for which a member must be dead before its record is removed.
+	// cleanAfter is the time for which a member must be dead before a watcher of its
+	// data centre removes its record.
 	cleanAfter = time.Minute
+	// cleanForeignAfter is the same for watchers of other data centres, which may
+	// only have lost sight of it.
+	cleanForeignAfter = 30 * time.Minute
 	// pauseThreshold is the time between ticks beyond which the process was paused.
 	pauseThreshold = 2 * time.Second
 )
@@ -147,7 +151,7 @@
 	case StoreRecords:
 		r.mergeRecords(e.Records)
 	case StoreSeen:
-		r.reach.storeSeen(e.Since)
+		r.reach.storeSeen(e.Since, r.self.ID)
 	}
 	return r.out
 }
@@ -233,11 +237,21 @@
 	r.clean()
 }
 
+// yieldsTo reports whether this daemon leaves the store to another one that
+// reaches it: any, or one before it in the order of watchers if it reaches the
+// store itself. So the first of all that reach the store always goes on.
+func (r *Roster) yieldsTo(other member.ID) bool {
+	if other == "" || other == r.self.ID {
+		return false
+	}
+	return !r.reach.storeFresh(r.now) || place(other, 0) < place(r.self.ID, 0)
+}
+
 // chooseRole decides whether this daemon watches the store, and asks for a check
 // of the store when evidence of it is wanted.
 func (r *Roster) chooseRole() {
 	lonely := r.reach.lonely(r.now)
-	watches := lonely || r.table.isWatcher(r.self)
+	watches := lonely || r.table.precede(r.self) < r.reach.watchers(r.now)
 	if watches != r.watches {
 		r.watches = watches
 		r.emit(WatchStore{Watch: watches})
--- a/fleet/roster/roster_test.go
+++ b/fleet/roster/roster_test.go
@@ -215,3 +215,38 @@
 		t.Error("no Superseded action")
 	}
 }
+
+// The daemons that watch the store lose sight of it; others take over, and the
+// watchers stay few.
+func TestWatchersAreReplacedByThoseThatSeeTheStore(t *testing.T) {
+	n := fleet(10, 40, 2, 0)
+	settled(t, n)
+	n.run(20 * time.Second)
+	watching := func(seeing bool) int {
+		count := 0
+		for _, id := range n.order {
+			if h := n.hosts[id]; h.watching && (!seeing || !h.storeCut) {
+				count++
+			}
+		}
+		return count
+	}
+	if got := watching(false); got != 2*watchersPerDatacentre {
+		t.Errorf("%d watchers, want %d", got, 2*watchersPerDatacentre)
+	}
+	for _, id := range n.order {
+		n.hosts[id].storeCut = n.hosts[id].watching || id < "vm-030"
+	}
+	took, ok := n.until(30*time.Second, 200*time.Millisecond, func() bool { return watching(true) > 0 })
+	t.Logf("taken over after %v", took)
+	if !ok {
+		t.Fatal("nobody took over")
+	}
+	n.run(30 * time.Second)
+	for range 300 {
+		n.run(time.Second)
+		if seeing, all := watching(true), watching(false); seeing == 0 || all > 20 {
+			t.Fatalf("%d watchers, of which %d see the store", all, seeing)
+		}
+	}
+}
--- a/fleet/roster/table.go
+++ b/fleet/roster/table.go
@@ -200,29 +200,39 @@
 }
 
 // differing returns the records, dead and gone ones included, of the buckets
-// whose hashes differ from the given ones, members first.
-func (t *table) differing(buckets []uint32) []Delta {
+// whose hashes differ from the given ones, bucket by bucket from the given start,
+// up to limit bytes but at least one member's.
+func (t *table) differing(buckets []uint32, start, limit int) []Delta {
 	if len(buckets) != bucketCount {
 		return nil
 	}
-	var members, backends []Delta
+	var rows [bucketCount][]*memberRow
 	for _, row := range t.sorted() {
 		if b := bucketOf(row.delta); t.buckets[b] != buckets[b] {
-			members = append(members, row.delta)
+			rows[b] = append(rows[b], row)
 		}
-		for _, beside := range t.besides(row.delta.ID) {
-			if b := bucketOf(beside.delta); t.buckets[b] != buckets[b] {
-				backends = append(backends, beside.delta)
+	}
+	var found []Delta
+	for i := range rows {
+		for _, row := range rows[(start+i)%bucketCount] {
+			found = append(found, row.delta)
+			limit -= row.delta.size()
+			for _, beside := range t.besides(row.delta.ID) {
+				found = append(found, beside.delta)
+				limit -= beside.delta.size()
+			}
+			if limit <= 0 {
+				return found
 			}
 		}
 	}
-	return append(members, backends...)
+	return found
 }
 
+// bucketOf puts a member and the backend servers beside it in one bucket.
 func bucketOf(d Delta) int {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(d.ID))
-	_, _ = h.Write([]byte(d.Backend))
 	return int(h.Sum32() % bucketCount)
 }
 
