Limits: bound a sole holder's lease while it gives shares away; return what is left

Renewals were written every 3.3 s without need; grants that ended unused lost their tokens; a token stayed counted for up to 200 ms. Change: a donation bounds the sole lease; peers are forgotten on leaving a record; who gives everything away promises nothing for a lease time before; renewal only when half of the lease is left; leftovers go back 300 ms before the end; lapse of 1/20 of the refill time, at most 100 ms.

--- a/limit/borrower/borrower.go
+++ b/limit/borrower/borrower.go
@@ -14,6 +14,8 @@
 package borrower
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -251,25 +253,49 @@
 	if i < 0 || a.held[i].closed {
 		return message.Returned{}, false
 	}
-	h := &a.held[i]
+	return a.held[i].close(now, organisation), true
+}
+
+// close ends the grant and returns what is left of it.
+func (h *held) close(now time.Time, organisation string) message.Returned {
 	h.advance(now)
 	h.closed = true
-	return message.Returned{Organisation: organisation, ID: id, Level: h.bucket.Level, Drawn: len(h.drawn)}, true
+	return message.Returned{Organisation: organisation, ID: h.id, Level: h.bucket.Level, Drawn: len(h.drawn)}
 }
 
-// GiveBackAll ends all grants and returns what is left of them, by holder.
-func (b *Borrower) GiveBackAll(now time.Time) map[member.ID][]message.Returned {
+// Ending returns the grants that end within the margin and still have a token, and ends
+// them: what is left of them, by holder. Grants that refill are extended instead while in use.
+func (b *Borrower) Ending(now time.Time, margin time.Duration) map[member.ID][]message.Returned {
 	back := map[member.ID][]message.Returned{}
 	for organisation, a := range b.accounts {
-		for _, h := range slices.Clone(a.held) {
-			if r, ok := b.GiveBack(now, h.holder, organisation, h.id); ok {
+		for i := range a.held {
+			h := &a.held[i]
+			single := h.bucket.Rate == 0 && h.bucket.Capacity <= 1
+			if h.closed || single || h.ends.Sub(now) > margin || !now.Before(h.ends) {
+				continue
+			}
+			if r := h.close(now, organisation); r.Level > 0 {
 				back[h.holder] = append(back[h.holder], r)
 			}
 		}
 	}
+	for _, items := range back {
+		sortReturned(items)
+	}
 	return back
 }
 
+func sortReturned(items []message.Returned) {
+	slices.SortFunc(items, func(a, b message.Returned) int {
+		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// GiveBackAll ends all grants and returns what is left of them, by holder.
+func (b *Borrower) GiveBackAll(now time.Time) map[member.ID][]message.Returned {
+	return b.Ending(now, math.MaxInt64)
+}
+
 // Sweep forgets organisations that have neither grants nor demand.
 func (b *Borrower) Sweep(now time.Time) {
 	for organisation, a := range b.accounts {
--- a/limit/enforcer/enforcer.go
+++ b/limit/enforcer/enforcer.go
@@ -45,7 +45,7 @@
 
 const (
 	// MaxWait bounds the time that a draw waits for an organisation's next token.
-	MaxWait = 100 * time.Millisecond
+	MaxWait = 150 * time.Millisecond
 	// maxWaiters bounds the draws of one organisation that wait at the same time.
 	maxWaiters = 256
 	// callTimeout bounds a call to another daemon.
--- a/limit/lease/ask.go
+++ b/limit/lease/ask.go
@@ -44,7 +44,7 @@
 		return reply
 	}
 	p := l.peer(now, from)
-	if !p.voted {
+	if !p.voted && !l.exiting() {
 		reply.Promise = true
 		p.given = now.Add(term.Wait(term.Lease + term.Grant))
 	}
--- a/limit/lease/lease.go
+++ b/limit/lease/lease.go
@@ -40,8 +40,8 @@
 )
 
 const (
-	// renewalDelay is the time without a promise before the store is asked instead.
-	renewalDelay = 2 * time.Second
+	// renewalMargin is the rest of the lease at which the store is asked for want of a promise.
+	renewalMargin = term.Lease / 2
 	// renewalInterval is the least time between two renewals in the store.
 	renewalInterval = term.Lease / 3
 	// conflictDelay is the least time after a failed renewal before the next.
@@ -152,6 +152,7 @@
 	}
 	if !record.Holds(l.self) {
 		l.lentTo, l.stoppedUntil, l.donation = "", time.Time{}, donation{}
+		l.peers = map[member.ID]*peer{}
 	}
 }
 
@@ -183,14 +184,14 @@
 	return l.record.Others(l.self)
 }
 
-// Until returns the end of the daemon's lease on its own shares. A sole holder has no end:
-// nobody can vote against it.
+// Until returns the end of the daemon's lease on its own shares. A sole holder has no end,
+// for nobody can vote against it, until it writes a donation: from then on the new holder may.
 func (l *Lease) Until(now time.Time) time.Time {
 	if !l.Holds() || !l.fenced || now.Before(l.ready) {
 		return time.Time{}
 	}
 	others := l.record.Others(l.self)
-	if len(others) == 0 {
+	if len(others) == 0 && l.donation.over == 0 {
 		return now.Add(term.Lease)
 	}
 	until := l.ownUntil
--- a/limit/lease/write.go
+++ b/limit/lease/write.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"slices"
 	"time"
 
 	"berylpass/fleet/member"
@@ -57,6 +56,9 @@
 		}
 	}
 	if l.donation.to != "" && l.donation.over == 0 && !now.Before(l.donation.ready) {
+		if len(l.record.Others(l.self)) == 0 {
+			l.ownUntil = now.Add(term.Lease)
+		}
 		l.donation.over = l.version
 		l.pending = write{active: true, asked: now, donates: true}
 		record := l.record
@@ -86,11 +88,7 @@
 	if !l.fenced || l.writtenOver != 0 || len(l.record.Votes[l.self]) > 0 {
 		return true
 	}
-	horizon := now.Add(term.Lease - renewalDelay)
-	return !slices.ContainsFunc(others, func(id member.ID) bool {
-		p := l.peers[id]
-		return !p.voted && p.promised.After(horizon)
-	}) && l.ownUntil.Before(now.Add(term.Lease/2))
+	return l.Until(now).Before(now.Add(renewalMargin))
 }
 
 // Written reports the outcome of the write that Next returned; on Done the record
@@ -123,14 +121,25 @@
 
 // Give plans to make to the owner of the daemon's last n shares: they rest from now on
 // until what was granted or lent from them has ended, and are then given away in the
-// store. It does nothing while another donation is planned.
+// store. A daemon that gives all its shares away promises nothing any more, and rests until
+// its promises have ended: once it is no holder, its co-holders' shares move without its vote.
+// Give does nothing while another donation is planned.
 func (l *Lease) Give(now time.Time, n int, to member.ID) {
 	if !l.Holds() || l.donation.to != "" || to == l.self {
 		return
 	}
 	own := l.record.SharesOf(l.self)
 	shares := own[max(0, len(own)-n):]
-	l.donation = donation{shares: shares, to: to, ready: now.Add(term.Wait(term.Loan + term.Grant))}
+	rest := term.Wait(term.Loan + term.Grant)
+	if len(shares) == len(own) {
+		rest = term.Wait(term.Lease + term.Grant)
+	}
+	l.donation = donation{shares: shares, to: to, ready: now.Add(rest)}
+}
+
+// exiting reports whether the daemon gives all its shares away.
+func (l *Lease) exiting() bool {
+	return l.donation.to != "" && len(l.donation.shares) == len(l.record.SharesOf(l.self))
 }
 
 // Giving reports whether a donation is planned or not yet confirmed.
--- a/limit/limiter/limiter.go
+++ b/limit/limiter/limiter.go
@@ -30,6 +30,8 @@
 	TickInterval = 100 * time.Millisecond
 	// sweepInterval is the time between two searches for what can be forgotten.
 	sweepInterval = 10 * time.Second
+	// endMargin is the time before its end at which an unused grant is given back.
+	endMargin = 3 * TickInterval
 )
 
 // Limiter is the decision core. It is not safe for concurrent use.
@@ -119,6 +121,7 @@
 		actions = append(actions, ListRecords{})
 	}
 	actions = append(actions, l.tendSeats(now)...)
+	actions = append(actions, l.giveBack(now, l.borrower.Ending(now, endMargin))...)
 	actions = append(actions, l.flush(now)...)
 	if !now.Before(l.sweepAt) {
 		l.sweepAt = now.Add(sweepInterval)
@@ -129,8 +132,12 @@
 
 func (l *Limiter) leave(now time.Time) []decision.Action {
 	l.leaving = true
+	return l.giveBack(now, l.borrower.GiveBackAll(now))
+}
+
+// giveBack returns what is left of grants to their holders.
+func (l *Limiter) giveBack(now time.Time, back map[member.ID][]message.Returned) []decision.Action {
 	var actions []decision.Action
-	back := l.borrower.GiveBackAll(now)
 	for _, to := range sortedKeys(back) {
 		items := message.Return{From: l.self, Items: back[to]}
 		if to == l.self {
--- a/limit/term/term.go
+++ b/limit/term/term.go
@@ -25,7 +25,7 @@
 	// Batch is the time for which a daemon may use a batch of tokens that does not refill.
 	Batch = 500 * time.Millisecond
 	// MaxLapse is the longest time between a draw and the dispatch to a backend server.
-	MaxLapse = 200 * time.Millisecond
+	MaxLapse = 100 * time.Millisecond
 	// MinLapse is the shortest time between a draw and the dispatch to a backend server.
 	MinLapse = 5 * time.Millisecond
 )
@@ -38,15 +38,15 @@
 	waitDivisor = 500
 	// waitFloor covers the granularity of clocks.
 	waitFloor = time.Millisecond
-	// lapseDivisor keeps what a full bucket loses between draw and dispatch to a tenth of the burst.
-	lapseDivisor = 10
+	// lapseDivisor keeps what a full bucket loses between draw and dispatch to a twentieth of the burst.
+	lapseDivisor = 20
 )
 
 // Wait returns how long a giver waits, by its own clock, until a term of d that it gave has surely ended.
 func Wait(d time.Duration) time.Duration { return d + d/waitDivisor + waitFloor }
 
 // Lapse returns how long a token drawn from a limit of rate requests per second and the
-// burst stays good: a tenth of the time in which the whole burst refills, within MinLapse and MaxLapse.
+// burst stays good: a twentieth of the time in which the whole burst refills, within MinLapse and MaxLapse.
 func Lapse(rate float64, burst int) time.Duration {
 	if rate <= 0 {
 		return MaxLapse
