Limits: promise a holder only the shares that both records name

A new process could promise before it knew its predecessor's vote. Change: an ask names the shares that the asker believes to own; no promise where the co-holder's record differs, none before the process has written the record once.

--- a/limit/allotment/allotment.go
+++ b/limit/allotment/allotment.go
@@ -110,6 +110,15 @@
 	return shares
 }
 
+// Mask returns the shares that id owns, as bits.
+func (r Record) Mask(id member.ID) uint8 {
+	var mask uint8
+	for _, share := range r.SharesOf(id) {
+		mask |= 1 << share
+	}
+	return mask
+}
+
 // HasVoted reports whether voter holds target to be lost.
 func (r Record) HasVoted(target, voter member.ID) bool {
 	return slices.Contains(r.Votes[target], voter)
--- a/limit/lease/ask.go
+++ b/limit/lease/ask.go
@@ -13,6 +13,10 @@
 // Ask is a holder's request to a co-holder.
 type Ask struct {
 	Shard int
+	// Owns has the bits of the shares that the asker owns by its record. A promise is given only
+	// where the co-holder's record says the same: a holder that lost its shares and was made
+	// holder of others must not take a promise for the lost ones.
+	Owns uint8
 	// Usable is the number of shares that the asker may use at present.
 	Usable int
 	// Loan asks for the co-holder's shares besides its promise.
@@ -33,7 +37,7 @@
 
 // Ask returns what to ask of the co-holders at the time now.
 func (l *Lease) Ask(now time.Time) Ask {
-	return Ask{Shard: l.shard, Usable: len(l.Usable(now)), Loan: l.WantsLoan(now)}
+	return Ask{Shard: l.shard, Owns: l.record.Mask(l.self), Usable: len(l.Usable(now)), Loan: l.WantsLoan(now)}
 }
 
 // Answer answers a co-holder's ask. idle reports that nothing that this daemon granted
@@ -44,7 +48,7 @@
 		return reply
 	}
 	p := l.peer(now, from)
-	if !p.voted && !l.exiting() {
+	if l.fenced && !p.voted && !l.exiting() && l.record.Mask(from) == ask.Owns {
 		reply.Promise = true
 		p.given = now.Add(term.Wait(term.Lease + term.Grant))
 	}
--- a/limit/lease/lease.go
+++ b/limit/lease/lease.go
@@ -173,8 +173,10 @@
 // Holds reports whether the daemon owns shares by the last known record.
 func (l *Lease) Holds() bool { return l.known && l.record.Holds(l.self) }
 
-// KnowsHolder reports whether id owns shares by the last known record.
-func (l *Lease) KnowsHolder(id member.ID) bool { return l.known && l.record.Holds(id) }
+// Agrees reports whether the last known record says of an asker what its ask says.
+func (l *Lease) Agrees(from member.ID, ask Ask) bool {
+	return l.known && l.record.Mask(from) == ask.Owns
+}
 
 // Others returns the co-holders, in the order of their shares.
 func (l *Lease) Others() []member.ID {
--- a/limit/limiter/answer.go
+++ b/limit/limiter/answer.go
@@ -24,7 +24,7 @@
 			}
 			continue
 		}
-		if !s.lease.KnowsHolder(ask.From) {
+		if !s.lease.Agrees(ask.From, item) {
 			s.readAt = now
 		}
 		l.share(now, s)
