--- a/limit/enforcer/enforcer.go
+++ b/limit/enforcer/enforcer.go
@@ -45,7 +45,7 @@
 
 const (
 	// MaxWait bounds the time that a draw waits for an organisation's next token.
-	MaxWait = 100 * time.Millisecond
+	MaxWait = 150 * time.Millisecond
 	// MaxLeaseWait bounds the time that a draw waits for a holder that can be reached.
 	MaxLeaseWait = time.Second
 	// maxWaiters bounds the draws of one organisation that wait at the same time.
