--- a/guard/check.go
+++ b/guard/check.go
@@ -26,6 +26,14 @@
 	reasonNone         = ""
 )
 
+// The reasons for which a guard can't tell whether a request has run to its end.
+const (
+	// ReasonLost means that the backend server's answer did not arrive whole.
+	ReasonLost = "backend-lost"
+	// ReasonDeadline means that the backend server had not answered by the deadline.
+	ReasonDeadline = "deadline-passed"
+)
+
 // check returns why the request must not run now, or reasonNone. The caller holds g.mu.
 func (g *Guard) check(now time.Time, s snapshot.Snapshot, e hop.Envelope) string {
 	if now.Sub(g.started).Milliseconds() >= e.Expires {
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -81,6 +81,9 @@
 	r.NotAfter = token.lapses
 	answer, err := g.Leg.Run(ctx, g.address(p.envelope), r)
 	end := endingOfRun(answer, err)
+	if end.ending == hop.Unknown && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		end.reason = ReasonDeadline
+	}
 	end.took = g.Clock().Sub(start)
 	token.settle(end.ending)
 	finished := &gate.Finished{ID: p.envelope.Attempt, Verdict: verdictOf(ctx, end, err)}
@@ -99,7 +102,7 @@
 	case errors.Is(err, leg.ErrNotSent):
 		return ending{ending: hop.NotRun, reason: ReasonNotSent}
 	case err != nil:
-		return ending{ending: hop.Unknown, reason: "backend-lost"}
+		return ending{ending: hop.Unknown, reason: ReasonLost}
 	case answer.NotRun:
 		return ending{ending: hop.NotRun, reason: ReasonShed, retryAfter: answer.RetryAfter}
 	}
--- a/hop/envelope.go
+++ b/hop/envelope.go
@@ -17,9 +17,11 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
 
 	"berylpass/attempt/id"
 	"berylpass/config/class"
@@ -123,3 +125,13 @@
 	r.note(name, err)
 	return v
 }
+
+// duration reads a count of units that fits a time.Duration.
+func (r *reader) duration(name string, unit time.Duration) time.Duration {
+	v := r.signed(name)
+	if v > int64(math.MaxInt64/unit) || v < int64(math.MinInt64/unit) {
+		r.note(name, strconv.ErrRange)
+		return 0
+	}
+	return time.Duration(v) * unit
+}
--- /dev/null
+++ b/hop/hop_test.go
@@ -0,0 +1,86 @@
+package hop_test
+
+import (
+	"errors"
+	"net/http"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"berylpass/attempt/id"
+	"berylpass/config/class"
+	"berylpass/hop"
+)
+
+// headerOf reads lines of name and value, as a peer could send them.
+func headerOf(text string) http.Header {
+	h := http.Header{}
+	for _, line := range strings.Split(text, "\n") {
+		if name, value, ok := strings.Cut(line, ":"); ok {
+			h.Set(hop.Prefix+name, value)
+		}
+	}
+	return h
+}
+
+func textOf(h http.Header) string {
+	var lines []string
+	for name, values := range h {
+		lines = append(lines, strings.TrimPrefix(name, hop.Prefix)+":"+values[0])
+	}
+	return strings.Join(lines, "\n")
+}
+
+// FuzzReadEnvelope holds that what is read can be written and read again, and that all else is malformed.
+func FuzzReadEnvelope(f *testing.F) {
+	h := http.Header{}
+	hop.Envelope{
+		Attempt: id.New("vm-1", 7, 9), Backend: "rounds 1/ä", Incarnation: 1, Expires: 20, TokenLapses: 3,
+		Organisation: "kowalski-orchards", KeyID: "k1", Route: "visits", Class: class.Reservation, Revision: 4,
+	}.Write(h)
+	f.Add(textOf(h))
+	f.Add("Attempt:vm-1/1/1/0\nClass:background\nExpires:-1")
+	f.Fuzz(func(t *testing.T, text string) {
+		first, err := hop.ReadEnvelope(headerOf(text))
+		if err != nil {
+			if !errors.Is(err, hop.ErrMalformed) {
+				t.Fatalf("error %v does not wrap ErrMalformed", err)
+			}
+			return
+		}
+		h := http.Header{}
+		first.Write(h)
+		second, err := hop.ReadEnvelope(h)
+		if err != nil || first != second {
+			t.Fatalf("read %+v again as %+v, %v", first, second, err)
+		}
+	})
+}
+
+// FuzzReadReport does the same for reports.
+func FuzzReadReport(f *testing.F) {
+	h := http.Header{}
+	hop.Report{
+		Attempt: id.New("vm-1", 7, 9), Ending: hop.NotRun, Reason: "over-limit", RetryAfter: time.Second,
+		Incarnation: 1, Clock: 5, Revision: 4, ServiceTime: time.Millisecond,
+	}.Write(h)
+	f.Add(textOf(h))
+	f.Add("Attempt:vm-1/1/1/0\nEnding:maybe")
+	f.Add(strings.Replace(textOf(h), "Retry-After-Ms:1000", "Retry-After-Ms:9223372036855", 1))
+	f.Fuzz(func(t *testing.T, text string) {
+		first, err := hop.ReadReport(headerOf(text))
+		if err != nil {
+			if !errors.Is(err, hop.ErrMalformed) {
+				t.Fatalf("error %v does not wrap ErrMalformed", err)
+			}
+			return
+		}
+		h := http.Header{}
+		first.Write(h)
+		second, err := hop.ReadReport(h)
+		if err != nil || !reflect.DeepEqual(first, second) {
+			t.Fatalf("read %+v again as %+v, %v", first, second, err)
+		}
+	})
+}
--- a/hop/report.go
+++ b/hop/report.go
@@ -64,11 +64,11 @@
 	p := Report{
 		Ending:      Ending(h.Get(Prefix + "Ending")),
 		Reason:      r.text("Reason"),
-		RetryAfter:  time.Duration(r.signed("Retry-After-Ms")) * time.Millisecond,
+		RetryAfter:  r.duration("Retry-After-Ms", time.Millisecond),
 		Incarnation: r.unsigned("Incarnation"),
 		Clock:       r.signed("Clock"),
 		Revision:    r.unsigned("Revision"),
-		ServiceTime: time.Duration(r.signed("Service-Us")) * time.Microsecond,
+		ServiceTime: r.duration("Service-Us", time.Microsecond),
 	}
 	attempt, err := id.Parse(h.Get(Prefix + "Attempt"))
 	r.note("Attempt", err)
--- a/ingress/draw.go
+++ b/ingress/draw.go
@@ -7,6 +7,7 @@
 
 	"berylpass/attempt/journey"
 	"berylpass/decision"
+	"berylpass/guard"
 	"berylpass/limit/enforcer"
 )
 
@@ -68,6 +69,8 @@
 		x.keep(x.flights[e.Attempt].token)
 	case journey.DialFailed:
 		x.keep(x.flights[e.Attempt].token)
+	case journey.Lost:
+		x.expired = x.expired || x.flights[e.Attempt].answer.Report.Reason == guard.ReasonDeadline
 	}
 	return event
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -35,6 +35,8 @@
 	tokens  []enforcer.Token
 	target  chooser.Target
 	flights []*flight
+	// expired tells that a guard saw the deadline pass before this ingress did.
+	expired bool
 }
 
 // run sees the request to its end. Attempts that are still under way then settle by themselves.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -23,7 +23,6 @@
 	"berylpass/config/class"
 	"berylpass/config/key"
 	"berylpass/config/revision"
-	"berylpass/config/route"
 	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
 	"berylpass/fleet/member"
@@ -153,10 +152,16 @@
 	if ready != nil && !matched.Open {
 		return x, ready
 	}
-	x.caller, err = authenticate(x.snapshot, matched, r.Header)
-	if err != nil {
+	secret, err := presentedKey(r.Header)
+	if err == nil {
+		x.caller, err = authenticate(x.snapshot, secret)
+	}
+	if err != nil && (!matched.Open || !errors.Is(err, errNoKey)) {
 		return x, err
 	}
+	if inTarget(r.URL, secret) {
+		return x, errKeyInURL
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return x, errBody
@@ -165,7 +170,7 @@
 		Method: r.Method,
 		Target: r.URL.RequestURI(),
 		Host:   r.Host,
-		Header: header.FromCaller(r.Header),
+		Header: withoutKey(header.FromCaller(r.Header), secret),
 		Body:   body,
 	}
 	return x, nil
@@ -192,14 +197,8 @@
 // caller is who a request runs for.
 type caller struct{ organisation, keyID string }
 
-func authenticate(s snapshot.Snapshot, matched route.Route, h http.Header) (caller, error) {
-	secret, err := presentedKey(h)
-	if errors.Is(err, errNoKey) && matched.Open {
-		return caller{}, nil
-	}
-	if err != nil {
-		return caller{}, err
-	}
+// authenticate finds whose key a secret is.
+func authenticate(s snapshot.Snapshot, secret string) (caller, error) {
 	o, k, ok := s.Caller(key.Sum(secret))
 	if !ok {
 		return caller{}, errUnknownKey
--- a/ingress/reply.go
+++ b/ingress/reply.go
@@ -56,6 +56,9 @@
 
 // ended maps the end of a journey to what the caller is told.
 func (x *exchange) ended(r journey.Reply) ended {
+	if r.Reason == journey.ReasonLost && x.expired {
+		r.Reason = journey.ReasonDeadline
+	}
 	end := ended{
 		outcome:    Outcome(r.Outcome),
 		reason:     r.Reason,
@@ -120,6 +123,7 @@
 		{snapshot.ErrMethod, http.StatusNotFound, "no-route-for-method"},
 		{errNoKey, http.StatusUnauthorized, "no-key"},
 		{errUnknownKey, http.StatusUnauthorized, "unknown-key"},
+		{errKeyInURL, http.StatusBadRequest, "key-in-target"},
 		{errTwoKeys, http.StatusBadRequest, "two-keys"},
 		{errBody, http.StatusBadRequest, "body-unreadable"},
 		{ErrNotReady, http.StatusServiceUnavailable, "not-ready"},
--- a/operate/localfleet/localfleet.go
+++ b/operate/localfleet/localfleet.go
@@ -106,8 +106,12 @@
 func (f *LocalFleet) Platform() *standin.StandIn { return f.platform }
 
 // StartDaemon starts a daemon. Daemons that run already serve as its seeds.
-func (f *LocalFleet) StartDaemon(id, datacentre string) (*daemon.Daemon, error) {
-	d, err := daemon.New(f.settings(id, datacentre), f.logger.With().Str("daemon", id).Logger())
+func (f *LocalFleet) StartDaemon(id, datacentre string, changes ...Setting) (*daemon.Daemon, error) {
+	s := f.settings(id, datacentre)
+	for _, change := range changes {
+		change(&s)
+	}
+	d, err := daemon.New(s, f.logger.With().Str("daemon", id).Logger())
 	if err != nil {
 		return nil, fmt.Errorf("start daemon %s: %w", id, err)
 	}
