--- a/config/revision/follower.go
+++ b/config/revision/follower.go
@@ -18,6 +18,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,12 +47,18 @@
 	notifyTimeout = time.Second
 	// watchBackoff is the pause after a watch that failed.
 	watchBackoff = time.Second
+	// roleInterval is the time between looks at whether this daemon is to watch.
+	roleInterval = 200 * time.Millisecond
+	// maxWatchBackoff bounds the pause, which doubles with each failure.
+	maxWatchBackoff = 15 * time.Second
 )
 
 var (
 	// ErrNoConfiguration reports a daemon that must refuse all requests: it has no
 	// configuration, or has not compared it with the fleet since its start.
 	ErrNoConfiguration = errors.New("no configuration in force yet")
+	// ErrBehind reports a store that shows a lower revision than the one in force.
+	ErrBehind = errors.New("store shows a lower revision than the one in force")
 	// ErrIsolated reports a daemon that must refuse requests with keys: it may have
 	// missed a withdrawal.
 	ErrIsolated = errors.New("daemon reaches neither the store nor enough of the fleet")
@@ -100,6 +107,7 @@
 	store    Store
 	clock    func() time.Time
 	onChange func(snapshot.Snapshot)
+	refused  func(from member.ID, err error)
 
 	current atomic.Pointer[opened]
 	ready   atomic.Bool
@@ -136,12 +144,19 @@
 	return func(f *Follower) { f.onChange = change }
 }
 
+// WithOnRefused is called with each revision that is not put in force: one that
+// fails its checks, or with ErrBehind a lower one in the store. From is empty for the store.
+func WithOnRefused(refused func(from member.ID, err error)) Option {
+	return func(f *Follower) { f.refused = refused }
+}
+
 // New starts to follow the configuration.
 func New(verifier Verifier, fleet Fleet, caller Caller, store Store, options ...Option) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
 		verifier: verifier, fleet: fleet, caller: caller, store: store, clock: time.Now,
-		pulled: map[uint64]*opened{}, changed: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
+		refused: func(member.ID, error) {},
+		pulled:  map[uint64]*opened{}, changed: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	for _, option := range options {
 		option(f)
@@ -271,18 +286,20 @@
 
 // watchLoop follows the store while membership wants this daemon to.
 func (f *Follower) watchLoop() {
-	after := uint64(0)
+	after, backoff := uint64(0), watchBackoff
 	for f.ctx.Err() == nil {
 		if !f.fleet.WatchesStore() {
-			after = 0
-			f.pause(watchBackoff)
+			after, backoff = 0, watchBackoff
+			f.pause(roleInterval)
 			continue
 		}
 		objects, version, err := f.store.Watch(f.ctx, CurrentKey, after)
 		if err != nil {
-			f.pause(watchBackoff)
+			f.pause(backoff/2 + rand.N(backoff/2))
+			backoff = min(2*backoff, maxWatchBackoff)
 			continue
 		}
+		backoff = watchBackoff
 		if len(objects) > 0 || version < after {
 			f.update(spread.StoreChanged{})
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"berylpass/choice/chooser"
 	"berylpass/config/revision"
 	"berylpass/config/settings"
+	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
 	"berylpass/fleet/directory"
 	"berylpass/fleet/member"
@@ -31,7 +32,9 @@
 	"berylpass/limit/enforcer"
 	"berylpass/mesh"
 	"berylpass/mesh/meshkey"
+	"berylpass/operate/burn"
 	"berylpass/operate/event"
+	"berylpass/operate/version"
 )
 
 // Daemon is one running process of the fleet.
@@ -49,12 +52,14 @@
 	members       *membership.Membership
 	configuration inForce
 	follower      *revision.Follower
-	limits        *enforcer.Enforcer
-	chooser       *chooser.Chooser
-	control       *control.Control
-	forwarder     *forwarder.Forwarder
-	guard         *guard.Guard
-	ingress       *ingress.Ingress
+	// applied is the snapshot that the parts were last told of.
+	applied   snapshot.Snapshot
+	limits    *enforcer.Enforcer
+	chooser   *chooser.Chooser
+	control   *control.Control
+	forwarder *forwarder.Forwarder
+	guard     *guard.Guard
+	ingress   *ingress.Ingress
 
 	callers, data, backends, operating *listener.Listener
 
@@ -75,10 +80,11 @@
 	d.observer = &observer{
 		logger: logger, metrics: d.metrics,
 		changed: d.ownBackendChanged, noticed: d.noticed,
-		heard: func(revision uint64, from member.ID) { d.follower.Heard(revision, from) },
-		ended: func(time.Time, ingress.Record) {},
+		heard:   func(revision uint64, from member.ID) { d.follower.Heard(revision, from) },
+		service: func(id backend.ID) string { return d.chooser.Service(id) },
+		clock:   d.clock, burn: burn.New(d.clock()),
 	}
-	event.Starting.Log(&d.logger).Str("daemon", s.Daemon.ID).Str("version", Version).Send()
+	event.Starting.Log(&d.logger).Str("version", version.Current().Version).Send()
 	if err := d.start(); err != nil {
 		d.Close()
 		return nil, err
--- a/fleet/roster/probe.go
+++ b/fleet/roster/probe.go
@@ -42,9 +42,11 @@
 
 // probing is the state of all probes of a daemon.
 type probing struct {
-	seq         uint64
-	open        map[uint64]*probe
-	calls       map[uint64]call
+	seq   uint64
+	open  map[uint64]*probe
+	calls map[uint64]call
+	// syncing is the number of the open synchronisation, 0 for none.
+	syncing     uint64
 	failures    map[member.ID]int
 	again       []member.ID
 	order       []member.ID
@@ -200,7 +202,7 @@
 	}
 	p.reconnectAt = r.now.Add(interval)
 	var dead []member.ID
-	for _, row := range r.table.sorted() {
+	for _, row := range r.table.troubled() {
 		if !row.alive() && !row.delta.Left {
 			dead = append(dead, row.delta.ID)
 		}
