Give each TLS connection its own buffers

Cause: llib's non-blocking TLS frees the record buffer before the plaintext is copied out; with the shared allocator another connection could overwrite a forwarded request in between. Change: the listener passes no allocator, so that freeing does nothing. Measured: no race in three runs of daemon, guard, ingress, hop and listener with the race detector (before: in 2 of 2). In the same runs daemon tests failed by time-outs while the machine was loaded at 26; under investigation.

--- a/caller/listener/conn.go
+++ b/caller/listener/conn.go
@@ -11,7 +11,6 @@
 
 	nbtls "github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"berylpass/caller/framing"
@@ -76,7 +75,7 @@
 	c.ctx, c.cancel = context.WithCancel(l.base)
 	c.parser = nbhttp.NewParser(c, l.engine, nbhttp.NewServerProcessor(), false, nbc.Execute)
 	if l.settings.tls != nil {
-		c.tls = nbtls.NewConn(transport{c}, l.settings.tls, false, true, mempool.DefaultMemPool)
+		c.tls = nbtls.NewConn(transport{c}, l.settings.tls, false, true)
 	}
 	return c
 }
