Cut no request at shutdown under traffic; share one engine

Cause: connections that wait in the system's queue when the socket closes are reset with the requests sent on them. Also, nbio's engine hangs in Stop when it is stopped before its loops run, and a connection that was answered before its bytes were fully taken in got no idle timeout. Change: a socket filter drops new connections while the queue is taken, without multipath TCP; all listeners of a process share one engine; the idle timeout is set from both sides.

--- a/caller/listener/conn.go
+++ b/caller/listener/conn.go
@@ -74,7 +74,7 @@
 	c := &conn{Conn: nbc, listener: l, framer: framing.New(l.settings.maxHeader, l.settings.maxBody)}
 	c.changed.L = &c.mu
 	c.ctx, c.cancel = context.WithCancel(l.base)
-	c.parser = nbhttp.NewParser(c, l.engine, nbhttp.NewServerProcessor(), false, nbc.Execute)
+	c.parser = nbhttp.NewParser(c, l.engine.Engine, nbhttp.NewServerProcessor(), false, nbc.Execute)
 	if l.settings.tls != nil {
 		c.tls = nbtls.NewConn(transport{c}, l.settings.tls, false, true, mempool.DefaultMemPool)
 	}
--- /dev/null
+++ b/caller/listener/drain_test.go
@@ -0,0 +1,87 @@
+package listener
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// client sends requests until the listener is gone, each on a new connection or
+// on one that it keeps, and counts those that were sent and not answered whole.
+type client struct {
+	address       string
+	keep          bool
+	answered, cut *atomic.Int64
+}
+
+func (c client) run(t *testing.T) {
+	for {
+		conn, err := net.Dial("tcp", c.address)
+		if err != nil {
+			return
+		}
+		conn.SetDeadline(time.Now().Add(patience))
+		c.talk(t, conn)
+		conn.Close()
+	}
+}
+
+func (c client) talk(t *testing.T, conn net.Conn) {
+	in := bufio.NewReader(conn)
+	for {
+		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+		var response *http.Response
+		if err == nil {
+			response, err = http.ReadResponse(in, nil)
+		}
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+		}
+		if err != nil {
+			c.cut.Add(1)
+			t.Logf("kept %t: %v", c.keep, err)
+			return
+		}
+		c.answered.Add(1)
+		if response.Close || !c.keep {
+			return
+		}
+	}
+}
+
+// TestShutdownUnderTraffic shuts listeners down while clients keep sending, and
+// allows no request on an accepted connection to go without its answer.
+func TestShutdownUnderTraffic(t *testing.T) {
+	body := strings.Repeat("x", 100_000)
+	var answered, cut atomic.Int64
+	for range 3 {
+		l := start(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, body) })
+		var clients sync.WaitGroup
+		for n := range 20 {
+			c := client{address: l.Address(), keep: n%2 == 0, answered: &answered, cut: &cut}
+			clients.Go(func() { c.run(t) })
+		}
+		enough := answered.Load() + 300
+		for answered.Load() < enough {
+			runtime.Gosched()
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		if err := l.Shutdown(ctx); err != nil {
+			t.Error(err)
+		}
+		cancel()
+		clients.Wait()
+	}
+	t.Logf("%d answered, %d cut", answered.Load(), cut.Load())
+	if cut.Load() > 0 {
+		t.Errorf("%d requests were cut", cut.Load())
+	}
+}
--- a/caller/listener/feed.go
+++ b/caller/listener/feed.go
@@ -5,9 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/nbhttp"
-
 	"berylpass/caller/framing"
 )
 
@@ -18,10 +15,9 @@
 	lastChunk = []byte("0\r\n\r\n")
 )
 
-// feed takes the bytes that the library has read from a caller.
-func (l *Listener) feed(nbc *nbio.Conn, data []byte) {
-	c := l.connOf(nbc)
-	if c == nil || !c.beginReading() {
+// feed takes the bytes that have come from the caller.
+func (c *conn) feed(data []byte) {
+	if !c.beginReading() {
 		return
 	}
 	if c.tls == nil {
@@ -146,11 +142,13 @@
 		_ = c.SetReadDeadline(time.Now().Add(headTimeout))
 	}
 	c.inHead = !idle && c.length == 0
+	if idle && !waiting {
+		c.expectRequest()
+	}
 }
 
 // prepare completes a request that the library's parser has read, before it waits for its turn.
-func (l *Listener) prepare(w http.ResponseWriter, r *http.Request) {
-	c := w.(*nbhttp.Response).Parser.Conn.(*conn)
+func (c *conn) prepare(r *http.Request) {
 	r.ContentLength, r.TransferEncoding = c.length, nil
 	if c.length >= 0 {
 		r.Header.Del("Transfer-Encoding")
--- a/caller/listener/listener.go
+++ b/caller/listener/listener.go
@@ -29,12 +29,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
-	"github.com/lesismal/nbio/nbhttp"
 )
 
 // Default bounds.
@@ -51,97 +48,58 @@
 // acceptRetryDelay is the pause after a failed accept.
 const acceptRetryDelay = 20 * time.Millisecond
 
-// quietLibrary turns off the library's own log lines.
-var quietLibrary = sync.OnceFunc(func() { logging.SetLevel(logging.LevelNone) })
-
 // Listener serves callers on one address.
 type Listener struct {
 	settings settings
 	handler  http.Handler
-	engine   *nbhttp.Engine
+	engine   *engine
 	tcp      *net.TCPListener
 	base     context.Context
 	cancel   context.CancelFunc
 	accepter sync.WaitGroup
-	onData   func(*nbio.Conn, []byte)
-	// published rises once a connection is set up and is read before one is used,
-	// since the library hands connections from goroutine to goroutine without a lock.
-	published atomic.Uint64
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
 	closed   bool
-	// handlers counts the handlers that run; returned is signalled when it falls to zero.
+	// handlers counts the handlers that run; ended is signalled when one returns
+	// and when a connection closes.
 	handlers int
-	returned sync.Cond
+	ended    sync.Cond
 	// emptied is closed once the listener drains and has no connection left.
 	emptied chan struct{}
 }
 
 // New listens on the address, host:port, and serves until Shutdown or Close.
 func New(address string, handler http.Handler, options ...Option) (*Listener, error) {
-	quietLibrary()
-	tcp, err := net.Listen("tcp", address)
+	engine, err := sharedEngine()
+	if err != nil {
+		return nil, fmt.Errorf("start the engine for callers: %w", err)
+	}
+	// Multipath TCP sockets take no filter, which Shutdown needs.
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	tcp, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
 	l := &Listener{
 		settings: defaults(),
 		handler:  handler,
+		engine:   engine,
 		tcp:      tcp.(*net.TCPListener),
 		conns:    map[*conn]struct{}{},
 		emptied:  make(chan struct{}),
 	}
-	l.returned.L = &l.mu
+	l.ended.L = &l.mu
 	for _, option := range options {
 		option(&l.settings)
 	}
 	l.base, l.cancel = context.WithCancel(context.Background())
-	l.onData = l.feed
-	l.engine = l.newEngine()
-	if err := l.engine.Start(); err != nil {
-		_ = tcp.Close()
-		return nil, fmt.Errorf("start the engine for callers: %w", err)
-	}
 	l.accepter.Go(l.accept)
 	return l, nil
 }
 
-// newEngine returns an engine without listeners: connections are added as they are accepted.
-func (l *Listener) newEngine() *nbhttp.Engine {
-	engine := nbhttp.NewEngine(nbhttp.Config{
-		Name:              "callers",
-		Handler:           http.HandlerFunc(l.serve),
-		OnRequest:         l.prepare,
-		ServerExecutor:    func(job func()) { go job() },
-		SupportServerOnly: true,
-		RetainHTTPBody:    true,
-	})
-	engine.OnWrittenSize(func(nbc *nbio.Conn, _ []byte, n int) {
-		if c := l.connOf(nbc); c != nil {
-			c.sent(n)
-		}
-	})
-	// The HTTP engine's own OnClose waits for the handlers of the connection.
-	engine.Engine.OnClose(func(nbc *nbio.Conn, _ error) {
-		if c := l.connOf(nbc); c != nil {
-			c.left()
-		}
-	})
-	return engine
-}
-
-// connOf returns the connection that belongs to the library's, or nil.
-func (l *Listener) connOf(nbc *nbio.Conn) *conn {
-	l.published.Load()
-	c, ok := nbc.Session().(*conn)
-	if !ok {
-		return nil
-	}
-	return c
-}
-
 // Address returns host:port on which the listener accepts.
 func (l *Listener) Address() string { return l.tcp.Addr().String() }
 
@@ -179,10 +137,7 @@
 		_ = nbc.Close()
 		return
 	}
-	nbc.SetSession(c)
-	nbc.OnData(l.onData)
-	l.published.Add(1)
-	if _, err := l.engine.AddConn(nbc); err != nil {
+	if err := l.engine.add(c); err != nil {
 		l.untrack(c)
 		return
 	}
@@ -204,6 +159,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
+	l.ended.Broadcast()
 	l.checkEmptied()
 }
 
--- a/caller/listener/serve.go
+++ b/caller/listener/serve.go
@@ -5,16 +5,11 @@
 	"errors"
 	"net/http"
 	"runtime/debug"
-
-	"github.com/lesismal/nbio/nbhttp"
 )
 
-// serve runs the handler for a request whose turn has come. The library's own
-// answer is put aside, and the library reuses the request after serve returns.
-func (l *Listener) serve(w http.ResponseWriter, r *http.Request) {
-	response := w.(*nbhttp.Response)
-	c := response.Parser.Conn.(*conn)
-	if _, _, err := response.Hijack(); err != nil || !l.enter() {
+// serve runs the handler and sees that its answer is whole or cut.
+func (l *Listener) serve(c *conn, r *http.Request) {
+	if !l.enter() {
 		return
 	}
 	defer l.leave()
@@ -66,9 +61,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.handlers--
-	if l.handlers == 0 {
-		l.returned.Broadcast()
-	}
+	l.ended.Broadcast()
 }
 
 // answered notes that a request has had its turn.
--- a/caller/listener/shutdown.go
+++ b/caller/listener/shutdown.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// acceptDrain is how long connections that the system has already taken are still accepted.
-const acceptDrain = 50 * time.Millisecond
+// acceptDrain is how long connections that callers have started are still accepted.
+const acceptDrain = 100 * time.Millisecond
 
 // Shutdown stops accepting, answers all requests in flight, and closes. Answers
 // carry Connection: close. Connections without a request are left open for the
@@ -25,8 +25,13 @@
 	return err
 }
 
-// stopAccepting takes the connections that wait in the system's queue and closes the socket.
+// stopAccepting keeps callers from starting new connections, takes those that
+// were started, and closes the socket. Closing it at once would reset the ones
+// that wait in the system's queue, with the requests sent on them.
 func (l *Listener) stopAccepting() {
+	if raw, err := l.tcp.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = dropNewConnections(int(fd)) })
+	}
 	_ = l.tcp.SetDeadline(time.Now().Add(acceptDrain))
 	l.accepter.Wait()
 	_ = l.tcp.Close()
@@ -67,14 +72,14 @@
 	for _, c := range l.snapshot() {
 		c.abort()
 	}
-	l.awaitHandlers()
-	l.engine.Stop()
+	l.awaitEnd()
 }
 
-func (l *Listener) awaitHandlers() {
+// awaitEnd waits for the handlers and for the connections to be closed.
+func (l *Listener) awaitEnd() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.handlers > 0 {
-		l.returned.Wait()
+	for l.handlers > 0 || len(l.conns) > 0 {
+		l.ended.Wait()
 	}
 }
