--- a/choice/evidence/evidence.go
+++ b/choice/evidence/evidence.go
@@ -52,7 +52,7 @@
 	usualErrors  = 0.01
 	raisedErrors = 0.2
 	// Max bounds the evidence of errors and of slowness in nats, so that it can fall again.
-	Max = 20
+	Max = 25
 )
 
 var (
@@ -60,7 +60,7 @@
 	errorGain   = math.Log(raisedErrors / usualErrors)
 	successLoss = math.Log((1 - raisedErrors) / (1 - usualErrors))
 	// slowShift is the rise of service times, as a logarithm, that slowness looks for.
-	slowShift = math.Log(3)
+	slowShift = math.Log(4)
 )
 
 // Evidence is what a guard has seen of one backend server.
--- a/choice/picker/flight.go
+++ b/choice/picker/flight.go
@@ -29,6 +29,7 @@
 		return
 	}
 	s.lastPick = now
+	s.group.flights++
 	s.flights = append(s.flights, flight{attempt: e.Attempt, class: e.Class, sent: now})
 }
 
@@ -38,7 +39,9 @@
 	if s == nil {
 		return
 	}
+	before := len(s.flights)
 	s.flights = slices.DeleteFunc(s.flights, func(f flight) bool { return f.attempt == attempt })
+	s.group.flights -= before - len(s.flights)
 }
 
 // observe takes the end of an attempt.
@@ -48,6 +51,7 @@
 		return nil
 	}
 	p.end(e.Attempt, e.Backend)
+	s.group.changed = true
 	if e.Report != nil {
 		s.takeReport(now, *e.Report)
 	}
--- a/choice/picker/picker.go
+++ b/choice/picker/picker.go
@@ -117,6 +117,7 @@
 		return
 	}
 	delete(p.servers, id)
+	s.group.flights -= len(s.flights)
 	s.group.servers = slices.DeleteFunc(s.group.servers, func(o *server) bool { return o == s })
 	s.group.rebuild()
 	s.path.servers = slices.DeleteFunc(s.path.servers, func(o *server) bool { return o == s })
--- a/choice/picker/table.go
+++ b/choice/picker/table.go
@@ -87,6 +87,12 @@
 	kept, trials []*server
 	// took are the times to an answer at this ingress.
 	took *evidence.Evidence
+	// flights counts the unanswered requests of this ingress.
+	flights int
+	// changed tells that there is something new to judge, unsettled that a server is not clear.
+	changed, unsettled bool
+	judgedAt           time.Time
+	scratch            baseline
 }
 
 func newGroup(s service.Service) *group {
@@ -104,6 +110,7 @@
 
 // rebuild works out which servers take work. The floor has the last word.
 func (g *group) rebuild() {
+	g.changed = true
 	candidates := make([]floor.Candidate, 0, len(g.servers))
 	for _, s := range g.servers {
 		s.kept = false
@@ -176,4 +183,5 @@
 // takeReport stores what the guard measured.
 func (s *server) takeReport(now time.Time, r report.Report) {
 	s.report, s.reportAt, s.ownAtReport = r, now, len(s.flights)
+	s.group.changed = true
 }
--- a/choice/picker/tick.go
+++ b/choice/picker/tick.go
@@ -25,6 +25,8 @@
 	trialBad = 2
 	// pathGood is the number of answers that passes the trial of a path.
 	pathGood = 2
+	// judgeInterval is the longest time between two judgements of a group.
+	judgeInterval = time.Second
 	// peersMoved is the rise of the peers' level, as a logarithm, that undoes an ejection as slow.
 	peersMoved = 0.4
 	// probeIdle is the time without traffic after which a backend server on trial is probed.
@@ -40,15 +42,23 @@
 		actions = append(actions, p.judgePath(now, w)...)
 	}
 	for _, g := range p.order {
-		actions = append(actions, g.judge(now)...)
-		g.rebuild()
+		if g.due(now) {
+			actions = append(actions, g.judge(now)...)
+		}
 	}
 	return append(actions, p.probe(now)...)
 }
 
-// judge runs over the backend servers of a group.
+// due reports whether the group may have changed since it was last judged.
+func (g *group) due(now time.Time) bool {
+	return g.changed || g.unsettled || g.flights > 0 || now.Sub(g.judgedAt) >= judgeInterval
+}
+
+// judge runs over the backend servers of a group, and rebuilds what takes work if a state changed.
 func (g *group) judge(now time.Time) []decision.Action {
 	var actions []decision.Action
+	before := g.unsettled
+	g.judgedAt, g.unsettled = now, false
 	b := g.baseline(now)
 	for _, s := range g.servers {
 		if !s.serving() {
@@ -64,7 +74,14 @@
 		case probation.OnTrial:
 			actions = append(actions, s.judgeTrial(now, b, found, c)...)
 		}
+		if s.badness() > 0 || s.suspect != None {
+			g.unsettled = true
+		}
+	}
+	if before || g.unsettled {
+		g.rebuild()
 	}
+	g.changed = false
 	return actions
 }
 
