Shorten a standing queue

Cause: under overload p99 of the worst small organisation was near the deadline of 2 s, because a queue with room for 2 s stood full. Change: a queue that has not been empty for a second has room for 250 ms only.

--- a/choice/gate/lane.go
+++ b/choice/gate/lane.go
@@ -16,8 +16,12 @@
 )
 
 const (
-	// queueTime is the wait for which the queue has room.
-	queueTime = 2 * time.Second
+	// queueTime is the wait for which the queue has room, standingTime that while
+	// the queue has not been empty for standingAfter: a burst may wait, a standing
+	// queue only adds delay.
+	queueTime     = 2 * time.Second
+	standingTime  = 250 * time.Millisecond
+	standingAfter = time.Second
 	// maxQueued bounds the queue of a backend server.
 	maxQueued = 256
 	// unknownTime is the expected service time while none has been measured.
@@ -46,7 +50,9 @@
 	// mean holds the service times in seconds.
 	mean [class.Count]window.Window
 	// running is in the order of the starts.
-	running       []running
+	running []running
+	// emptyAt is when the queue was last empty.
+	emptyAt       time.Time
 	lastCompleted time.Time
 	// abandoned counts the requests that ran for much longer than usual and
 	// ended without an answer, since the last one that did complete.
@@ -138,6 +144,9 @@
 	if l.stalled(now) > 0 && !l.free(now) {
 		return []decision.Action{l.shed(now, item, Stalled)}
 	}
+	if l.queue.Len() == 0 {
+		l.emptyAt = now
+	}
 	wait := l.wait(now, l.queue.Ahead(item.Class, item.Organisation))
 	if now.Add(wait + item.Cost).After(item.Expires) {
 		return []decision.Action{l.shed(now, item, Late)}
--- a/choice/gate/measure.go
+++ b/choice/gate/measure.go
@@ -63,9 +63,14 @@
 	return time.Duration((n + 1) * float64(l.meanTime(now)) / float64(l.limiter.Allowed(now)))
 }
 
-// room returns how many requests may wait: what the slots serve in queueTime.
+// room returns how many requests may wait: what the slots serve in queueTime, or
+// in standingTime if the queue does not become empty (B. Maurer, Fail at Scale, 2015).
 func (l *lane) room(now time.Time) int {
-	served := float64(queueTime) / float64(max(l.meanTime(now), time.Microsecond))
+	span := queueTime
+	if now.Sub(l.emptyAt) >= standingAfter {
+		span = standingTime
+	}
+	served := float64(span) / float64(max(l.meanTime(now), time.Microsecond))
 	n := served * float64(l.limiter.Allowed(now))
 	return int(min(max(n, float64(2*l.limiter.Slots())), maxQueued))
 }
