Tell a recovering trial from a failing one; ask about trials

Change: a trial fails on evidence only if it has not fallen since the trial began, the evidence of errors is bounded nearer its threshold, and the guard is asked how the trial goes over the whole fleet, at an interval that grows with the fleet.

--- a/choice/evidence/evidence.go
+++ b/choice/evidence/evidence.go
@@ -51,8 +51,9 @@
 	// usualErrors and raisedErrors are the error shares between which the errors decide.
 	usualErrors  = 0.01
 	raisedErrors = 0.2
-	// Max bounds the evidence of errors and of slowness in nats, so that it can fall again.
-	Max = 25
+	// MaxErrors and MaxSlowness bound the evidence in nats, so that it can fall again.
+	MaxErrors   = 13.5
+	MaxSlowness = 20
 )
 
 var (
@@ -96,7 +97,7 @@
 	}
 	e.completed++
 	if v.Faulty() {
-		e.errors = min(e.errors+errorGain, Max)
+		e.errors = min(e.errors+errorGain, MaxErrors)
 	} else {
 		e.errors = max(e.errors+successLoss, 0)
 	}
@@ -144,10 +145,10 @@
 	return max(u.Spread(), minSpread)
 }
 
-// Errors returns the evidence of a raised error share in nats, from 0 to Max.
+// Errors returns the evidence of a raised error share in nats, from 0 to MaxErrors.
 func (e *Evidence) Errors() float64 { return e.errors }
 
-// Slowness returns the evidence, in nats from 0 to Max, that service times rose
+// Slowness returns the evidence, in nats from 0 to MaxSlowness, that service times rose
 // above what was usual for this backend server. Ages are those of its running requests by class.
 func (e *Evidence) Slowness(now time.Time, ages [class.Count][]time.Duration) float64 {
 	sum := e.slowness
@@ -156,7 +157,7 @@
 			sum += max(e.step(now, class.Class(c), LogTime(age)), 0)
 		}
 	}
-	return min(sum, Max)
+	return min(sum, MaxSlowness)
 }
 
 // Count returns the number of completed requests; it wraps around.
@@ -168,7 +169,7 @@
 	if u := &e.usual[c]; u.Samples(now) >= usualSamples {
 		x = min(max(x, u.Mean()-clampRange), u.Mean()+clampRange)
 	}
-	e.slowness = min(max(e.slowness+e.step(now, c, x), 0), Max)
+	e.slowness = min(max(e.slowness+e.step(now, c, x), 0), MaxSlowness)
 	e.short[c].Add(now, x)
 	e.long[c].Add(now, x)
 	e.usual[c].Add(now, x)
--- a/choice/picker/table.go
+++ b/choice/picker/table.go
@@ -55,6 +55,8 @@
 	ownAtReport int
 	// completedAtTrial is the guard's count of completed requests when the trial began.
 	completedAtTrial uint16
+	// errorsAtTrial and slownessAtTrial are the evidence when the trial began.
+	errorsAtTrial, slownessAtTrial float64
 	// peersAtEjection is the logarithmic level of the peers at the ejection.
 	peersAtEjection float64
 
--- a/choice/picker/tick.go
+++ b/choice/picker/tick.go
@@ -25,6 +25,10 @@
 	trialBad = 2
 	// pathGood is the number of answers that passes the trial of a path.
 	pathGood = 2
+	// minTrialInterval is the least time between two questions about a trial,
+	// trialIntervalStep what each guard of the fleet adds to it.
+	minTrialInterval  = time.Second
+	trialIntervalStep = 20 * time.Millisecond
 	// judgeInterval is the longest time between two judgements of a group.
 	judgeInterval = time.Second
 	// peersMoved is the rise of the peers' level, as a logarithm, that undoes an ejection as slow.
@@ -43,7 +47,7 @@
 	}
 	for _, g := range p.order {
 		if g.due(now) {
-			actions = append(actions, g.judge(now)...)
+			actions = append(actions, g.judge(now, p.trialInterval())...)
 		}
 	}
 	return append(actions, p.probe(now)...)
@@ -55,7 +59,7 @@
 }
 
 // judge runs over the backend servers of a group, and rebuilds what takes work if a state changed.
-func (g *group) judge(now time.Time) []decision.Action {
+func (g *group) judge(now time.Time, interval time.Duration) []decision.Action {
 	var actions []decision.Action
 	before := g.unsettled
 	g.judgedAt, g.unsettled = now, false
@@ -73,6 +77,7 @@
 			actions = append(actions, s.judgeEjected(now, found, c)...)
 		case probation.OnTrial:
 			actions = append(actions, s.judgeTrial(now, b, found, c)...)
+			actions = append(actions, s.askTrial(now, interval)...)
 		}
 		if s.badness() > 0 || s.suspect != None {
 			g.unsettled = true
@@ -147,6 +152,7 @@
 	if s.probation.State == probation.OnTrial {
 		s.good, s.bad = 0, 0
 		s.completedAtTrial = s.report.Completed
+		s.errorsAtTrial, s.slownessAtTrial = s.report.Errors, s.report.Slowness
 	}
 	return nil
 }
@@ -159,7 +165,7 @@
 	}
 	overdue, _ := s.silent(now)
 	switch {
-	case overdue > 0, s.bad >= trialBad, found != None && completed >= trialCompleted:
+	case overdue > 0, s.bad >= trialBad, found != None && completed >= trialCompleted && !s.improving(found):
 		if found == None {
 			found = s.reason
 		}
@@ -173,6 +179,32 @@
 	return nil
 }
 
+// trialInterval returns the time between two questions about a backend server on
+// trial: it grows with the number of guards, as all ingresses ask the same one.
+func (p *Picker) trialInterval() time.Duration {
+	return max(minTrialInterval, time.Duration(len(p.pathOrder))*trialIntervalStep)
+}
+
+// askTrial asks the guard of s how its trial goes over the whole fleet.
+func (s *server) askTrial(now time.Time, interval time.Duration) []decision.Action {
+	if s.probation.State != probation.OnTrial || now.Sub(s.reportAt) < interval || now.Sub(s.askedAt) < interval {
+		return nil
+	}
+	s.askedAt = now
+	return []decision.Action{Ask{Backend: s.backend.ID}}
+}
+
+// improving reports whether the evidence behind a reason has fallen since the trial began.
+func (s *server) improving(why Reason) bool {
+	switch why {
+	case Failing:
+		return s.report.Errors < s.errorsAtTrial
+	case Slow:
+		return s.report.Slowness < s.slownessAtTrial
+	}
+	return false
+}
+
 // eject takes s out of use.
 func (s *server) eject(now time.Time, why Reason, c comparison) []decision.Action {
 	s.probation = s.probation.Eject(now)
@@ -194,75 +226,6 @@
 	return []decision.Action{action}
 }
 
-// judgePath ejects a silent path, and restores one that answers on trial.
-func (p *Picker) judgePath(now time.Time, w *path) []decision.Action {
-	switch w.probation.State {
-	case probation.Clear:
-		return p.judgeSilence(now, w)
-	case probation.Ejected:
-		w.probation = w.probation.Advance(now)
-		if w.probation.State == probation.OnTrial {
-			w.good, w.bad = 0, 0
-		}
-	case probation.OnTrial:
-		if n, _ := w.silent(now); n > 0 || w.bad > 0 {
-			return p.ejectPath(now, w)
-		}
-		if w.good >= pathGood {
-			return p.restorePath(now, w)
-		}
-	}
-	return nil
-}
-
-// judgeSilence asks the guard of a silent path for a report, and ejects the path
-// if several requests are overdue and the question stays unanswered.
-func (p *Picker) judgeSilence(now time.Time, w *path) []decision.Action {
-	n, since := w.silent(now)
-	if n == 0 {
-		return nil
-	}
-	if w.askedAt.Before(since) {
-		w.askedAt = now
-		return []decision.Action{Ask{Backend: w.servers[0].backend.ID}}
-	}
-	if n >= silentRequests && now.Sub(w.askedAt) >= AskTimeout {
-		w.badSince = since
-		return p.ejectPath(now, w)
-	}
-	return nil
-}
-
-// ejectPath takes every backend server behind a path out of use for this ingress.
-func (p *Picker) ejectPath(now time.Time, w *path) []decision.Action {
-	w.probation = w.probation.Eject(now)
-	w.reason, w.ejectedAt = BadPath, now
-	w.misses = 0
-	actions := make([]decision.Action, 0, len(w.servers))
-	for _, s := range w.servers {
-		s.group.rebuild()
-		actions = append(actions, Ejected{
-			Backend: s.backend.ID,
-			Reason:  BadPath,
-			After:   now.Sub(w.badSince),
-			Strikes: w.probation.Strikes,
-		})
-	}
-	return actions
-}
-
-// restorePath puts the backend servers behind a path back into use.
-func (p *Picker) restorePath(now time.Time, w *path) []decision.Action {
-	w.probation = w.probation.Restore(now)
-	w.reason = None
-	actions := make([]decision.Action, 0, len(w.servers))
-	for _, s := range w.servers {
-		s.group.rebuild()
-		actions = append(actions, Restored{Backend: s.backend.ID, Reason: BadPath, Out: now.Sub(w.ejectedAt)})
-	}
-	return actions
-}
-
 // probe asks for a probe of a backend server on trial without traffic.
 func (p *Picker) probe(now time.Time) []decision.Action {
 	if now.Sub(p.lastProbe) < probeInterval {
--- a/choice/scenario/model_test.go
+++ b/choice/scenario/model_test.go
@@ -184,3 +184,12 @@
 	}
 	return ids
 }
+
+// repair ends all faults and lets go of what was held.
+func (m *model) repair() {
+	m.fault = fault{}
+	for _, attempt := range m.held {
+		m.finish(attempt, verdict.OK)
+	}
+	m.held = nil
+}
