--- a/fleet/roster/roster_test.go
+++ b/fleet/roster/roster_test.go
@@ -250,3 +250,36 @@
 		}
 	}
 }
+
+// Two daemons that cannot reach each other are vouched for by others.
+func TestHelpersVouchForAMemberBehindABrokenLink(t *testing.T) {
+	n := fleet(11, 12, 2, 0)
+	settled(t, n)
+	a, b := member.ID("vm-001"), n.hosts["vm-001"].roster.Neighbours()[0]
+	n.cut[[2]member.ID{a, b}], n.cut[[2]member.ID{b, a}] = true, true
+	n.run(10 * time.Minute)
+	for _, id := range n.order {
+		if alarms := n.hosts[id].falseAlarms; alarms > 0 {
+			t.Errorf("%s heard of %d suspicions", id, alarms)
+		}
+	}
+}
+
+// A part of the fleet that is cut off from the rest and from the store goes on
+// counting itself isolated, however long that takes.
+func TestSmallerPartStaysIsolated(t *testing.T) {
+	n := fleet(12, 7, 1, 0)
+	settled(t, n)
+	n.storeAway = true
+	for i, x := range n.order {
+		for j, y := range n.order {
+			n.cut[[2]member.ID{x, y}] = (i < 3) != (j < 3)
+		}
+	}
+	n.run(DeadRetention + 10*time.Minute)
+	for i, id := range n.order {
+		if got, want := n.hosts[id].roster.Isolated(n.now), i < 3; got != want {
+			t.Errorf("%s isolated: %v, want %v", id, got, want)
+		}
+	}
+}
