--- a/limit/limiter/limiter.go
+++ b/limit/limiter/limiter.go
@@ -30,11 +30,15 @@
 	TickInterval = 100 * time.Millisecond
 	// sweepInterval is the time between two searches for what can be forgotten.
 	sweepInterval = 10 * time.Second
+	// endMargin is the time before its end at which an unused grant is given back.
+	endMargin = 3 * TickInterval
 )
 
 // Limiter is the decision core. It is not safe for concurrent use.
 type Limiter struct {
-	self     member.ID
+	self member.ID
+	// used are the shards with organisations; nil means all.
+	used     map[int]bool
 	limits   holder.Limits
 	holder   *holder.Holder
 	borrower *borrower.Borrower
@@ -84,6 +88,7 @@
 		l.placeAll()
 	case Configured:
 		l.limits = e.Limits
+		l.used = usedShards(e.Organisations)
 		l.holder.SetLimits(e.Limits)
 	case Leave:
 		return l.leave(now)
@@ -112,6 +117,18 @@
 	return nil
 }
 
+// usedShards tells which shards have organisations; nil for all.
+func usedShards(organisations []string) map[int]bool {
+	if organisations == nil {
+		return nil
+	}
+	used := map[int]bool{}
+	for _, name := range organisations {
+		used[allotment.Shard(name)] = true
+	}
+	return used
+}
+
 func (l *Limiter) tick(now time.Time) []decision.Action {
 	var actions []decision.Action
 	if !l.listed && !l.listing && !now.Before(l.listAt) && len(l.members) > 0 {
@@ -119,6 +136,7 @@
 		actions = append(actions, ListRecords{})
 	}
 	actions = append(actions, l.tendSeats(now)...)
+	actions = append(actions, l.giveBack(now, l.borrower.Ending(now, endMargin))...)
 	actions = append(actions, l.flush(now)...)
 	if !now.Before(l.sweepAt) {
 		l.sweepAt = now.Add(sweepInterval)
@@ -129,8 +147,12 @@
 
 func (l *Limiter) leave(now time.Time) []decision.Action {
 	l.leaving = true
+	return l.giveBack(now, l.borrower.GiveBackAll(now))
+}
+
+// giveBack returns what is left of grants to their holders.
+func (l *Limiter) giveBack(now time.Time, back map[member.ID][]message.Returned) []decision.Action {
 	var actions []decision.Action
-	back := l.borrower.GiveBackAll(now)
 	for _, to := range sortedKeys(back) {
 		items := message.Return{From: l.self, Items: back[to]}
 		if to == l.self {
