Send what changed of a configuration, packed against the revision before

Change: manifest and chunks travel as flate with the caller's own manifest and the chunks that fell away as dictionary; a caller on another revision gets plain flate.

--- a/config/revision/follower.go
+++ b/config/revision/follower.go
@@ -161,7 +161,8 @@
 	for _, option := range options {
 		option(f)
 	}
-	f.current.Store(&opened{snapshot: snapshot.New(0)})
+	f.last = &opened{snapshot: snapshot.New(0)}
+	f.current.Store(f.last)
 	f.spread = spread.New(f.clock())
 	fleet.OnRevision(f.Heard)
 	f.wait.Go(f.tickLoop)
--- a/config/revision/follower_test.go
+++ b/config/revision/follower_test.go
@@ -105,9 +105,9 @@
 	case noticeMethod:
 		return r.Notice(args.(Notice), reply.(*Notice))
 	case manifestMethod:
-		return r.Manifest(args.(bool), reply.(*Document))
+		return r.Manifest(args.(Request), reply.(*Document))
 	default:
-		return r.Chunk(args.([32]byte), reply.(*Chunk))
+		return r.Chunk(args.(Request), reply.(*Chunk))
 	}
 }
 
--- a/config/revision/pull.go
+++ b/config/revision/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -75,14 +76,18 @@
 		o, err := f.store.Get(ctx, CurrentKey)
 		return o.Value, err
 	}
+	held := f.current.Load()
 	var reply Document
-	if err := f.caller.Call(ctx, from, manifestMethod, true, &reply); err != nil {
+	if err := f.caller.Call(ctx, from, manifestMethod, Request{Held: held.digest()}, &reply); err != nil {
 		return nil, err
 	}
 	if reply.Revision == 0 {
 		return nil, errNoManifest
 	}
-	return reply.Manifest, nil
+	if reply.Relative {
+		return unpack(reply.Packed, held.manifest)
+	}
+	return unpack(reply.Packed, nil)
 }
 
 // fetchChunk takes a chunk from what is held, else from the daemon that showed the
@@ -92,28 +97,36 @@
 		return chunk, nil
 	}
 	if from != "" {
-		var reply Chunk
-		err := f.caller.Call(ctx, from, chunkMethod, digest, &reply)
-		if err == nil && reply.Found {
-			return reply.Value, nil
+		chunk, err := f.askChunk(ctx, from, held, digest)
+		if err == nil && sha256.Sum256(chunk) == digest {
+			return chunk, nil
 		}
 	}
 	o, err := f.store.Get(ctx, ChunkPrefix+hex.EncodeToString(digest[:]))
 	return o.Value, err
 }
 
-// chunk returns a chunk of the present revision or the one before.
-func (f *Follower) chunk(digest [32]byte) ([]byte, bool) {
-	if chunk, ok := f.current.Load().chunks[digest]; ok {
-		return chunk, true
+func (f *Follower) askChunk(ctx context.Context, from member.ID, held *opened, digest [32]byte) ([]byte, error) {
+	var reply Chunk
+	err := f.caller.Call(ctx, from, chunkMethod, Request{Chunk: digest, Held: held.digest()}, &reply)
+	if err != nil {
+		return nil, err
+	}
+	if !reply.Found {
+		return nil, object.ErrNotFound
 	}
+	dictionary, err := held.dictionary(reply.Dictionary)
+	if err != nil {
+		return nil, err
+	}
+	return unpack(reply.Packed, dictionary)
+}
+
+// held returns the revision in force and the one before.
+func (f *Follower) held() (current, last *opened) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.last == nil {
-		return nil, false
-	}
-	chunk, ok := f.last.chunks[digest]
-	return chunk, ok
+	return f.current.Load(), f.last
 }
 
 // Chunks returns the chunks of the configuration in force, by digest.
--- a/config/revision/receiver.go
+++ b/config/revision/receiver.go
@@ -17,16 +17,27 @@
 	From     member.ID
 }
 
-// Document is a signed manifest; Revision is 0 for none.
+// Request asks for the manifest, or for a chunk by its digest.
+type Request struct {
+	Chunk [32]byte
+	// Held is the SHA-256 digest of the caller's manifest.
+	Held [32]byte
+}
+
+// Document is a signed manifest, packed; Revision is 0 for none.
 type Document struct {
 	Revision uint64
-	Manifest []byte
+	Packed   []byte
+	// Relative tells that the caller's manifest is the dictionary.
+	Relative bool
 }
 
-// Chunk is the answer to the request for a chunk.
+// Chunk is the answer to the request for a chunk, packed with the named chunks of
+// the caller as dictionary.
 type Chunk struct {
-	Found bool
-	Value []byte
+	Found      bool
+	Packed     []byte
+	Dictionary [][32]byte
 }
 
 // Receiver answers other daemons' calls by net/rpc.
@@ -43,15 +54,33 @@
 }
 
 // Manifest returns the signed manifest in force.
-func (r *Receiver) Manifest(_ bool, reply *Document) error {
-	held := r.follower.current.Load()
-	*reply = Document{Revision: held.snapshot.Revision, Manifest: held.manifest}
+func (r *Receiver) Manifest(request Request, reply *Document) error {
+	held, last := r.follower.held()
+	*reply = Document{Revision: held.snapshot.Revision, Relative: last.digest() == request.Held}
+	if reply.Relative {
+		reply.Packed = pack(held.manifest, last.manifest)
+		return nil
+	}
+	reply.Packed = pack(held.manifest, nil)
 	return nil
 }
 
 // Chunk returns a chunk of the revision in force or of the one before.
-func (r *Receiver) Chunk(digest [32]byte, reply *Chunk) error {
-	value, found := r.follower.chunk(digest)
-	*reply = Chunk{Found: found, Value: value}
+func (r *Receiver) Chunk(request Request, reply *Chunk) error {
+	held, last := r.follower.held()
+	value, found := held.chunks[request.Chunk]
+	if !found {
+		value, found = last.chunks[request.Chunk]
+	}
+	*reply = Chunk{Found: found}
+	if !found {
+		return nil
+	}
+	var dictionary []byte
+	if last.digest() == request.Held {
+		reply.Dictionary = last.dropped(held)
+		dictionary, _ = last.dictionary(reply.Dictionary)
+	}
+	reply.Packed = pack(value, dictionary)
 	return nil
 }
--- /dev/null
+++ b/config/revision/size_test.go
@@ -0,0 +1,120 @@
+package revision
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"berylpass/config/datacentre"
+	"berylpass/config/key"
+	"berylpass/config/manifest"
+	"berylpass/config/organisation"
+	"berylpass/config/route"
+	"berylpass/config/service"
+	"berylpass/config/signature"
+	"berylpass/config/snapshot"
+)
+
+// BenchmarkOpen measures the opening of a revision of which all chunks are held,
+// and reports the bytes that a change of one organisation moves.
+func BenchmarkOpen(b *testing.B) {
+	for _, size := range []struct{ organisations, routes int }{{1400, 250}, {5600, 1000}, {14000, 2500}} {
+		b.Run(fmt.Sprintf("organisations=%d/routes=%d", size.organisations, size.routes), func(b *testing.B) {
+			m, chunks, err := manifest.New(configuration(size.organisations, size.routes), manifest.Digest{}, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			held, total, largest := map[[32]byte][]byte{}, 0, 0
+			for _, c := range chunks {
+				held[c.Digest()] = c.Value
+				total += len(c.Value)
+				largest = max(largest, len(c.Value))
+			}
+			fetch := func(_ context.Context, digest [32]byte) ([]byte, error) { return held[digest], nil }
+			b.ResetTimer()
+			for range b.N {
+				if _, err := signature.Assemble(context.Background(), m, fetch); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(m.Encode())), "manifest-B")
+			b.ReportMetric(float64(largest), "chunk-B")
+			b.ReportMetric(float64(total), "all-chunks-B")
+		})
+	}
+}
+
+// A change of one organisation moves little to a daemon that holds the revision before.
+func TestChangeMovesLittle(t *testing.T) {
+	before := configuration(14000, 2500)
+	changed := before.Organisations["organisation-00007"].WithoutKey("first")
+	first, second := hold(t, before), hold(t, before.WithRevision(2).WithOrganisation(changed))
+	f := &Follower{last: first}
+	f.current.Store(second)
+	var document Document
+	_ = f.Receiver().Manifest(Request{Held: first.digest()}, &document)
+	moved := len(document.Packed)
+	if got, err := unpack(document.Packed, first.manifest); err != nil || string(got) != string(second.manifest) {
+		t.Fatalf("the manifest does not come through: %v", err)
+	}
+	for digest, want := range second.chunks {
+		if _, held := first.chunks[digest]; held {
+			continue
+		}
+		var reply Chunk
+		_ = f.Receiver().Chunk(Request{Chunk: digest, Held: first.digest()}, &reply)
+		moved += len(reply.Packed)
+		dictionary, err := first.dictionary(reply.Dictionary)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := unpack(reply.Packed, dictionary); err != nil || string(got) != string(want) {
+			t.Fatalf("the chunk does not come through: %v", err)
+		}
+	}
+	t.Logf("%d bytes moved, of a manifest of %d", moved, len(second.manifest))
+	if moved > 2000 {
+		t.Errorf("%d bytes moved, want at most 2000", moved)
+	}
+}
+
+// hold returns a revision as a daemon holds it, unsigned.
+func hold(t *testing.T, s snapshot.Snapshot) *opened {
+	t.Helper()
+	m, chunks, err := manifest.New(s, manifest.Digest{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &opened{snapshot: s, manifest: m.Encode(), chunks: map[[32]byte][]byte{}}
+	for _, c := range chunks {
+		o.chunks[c.Digest()] = c.Value
+	}
+	return o
+}
+
+func FuzzUnpack(f *testing.F) {
+	f.Add(pack([]byte("a manifest"), []byte("manifest")), []byte("manifest"))
+	f.Fuzz(func(t *testing.T, packed, dictionary []byte) {
+		if value, err := unpack(packed, dictionary); err == nil && len(value) > 1<<20 {
+			t.Errorf("%d bytes unpacked", len(value))
+		}
+	})
+}
+
+func configuration(organisations, routes int) snapshot.Snapshot {
+	s := snapshot.New(1)
+	s.Datacentres["srem"] = datacentre.New("srem", "wielkopolska")
+	for i := range 140 {
+		name := fmt.Sprintf("service-%03d", i)
+		s.Services[name] = service.New(name)
+	}
+	for i := range routes {
+		name := fmt.Sprintf("route-%05d", i)
+		s.Routes[name] = route.New(name, fmt.Sprintf("service-%03d", i%140)).WithMatch("", "/"+name, "GET")
+	}
+	for i := range organisations {
+		name := fmt.Sprintf("organisation-%05d", i)
+		s.Organisations[name] = organisation.New(name).WithLimit(20, 40).WithKey(key.New("first", key.Sum(name)))
+	}
+	return s.Index()
+}
