--- a/fleet/roster/measure_test.go
+++ b/fleet/roster/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -255,3 +256,62 @@
 		}
 	})
 }
+
+// known returns a roster that knows a fleet of the given size.
+func known(daemons, backends int) *Roster {
+	n := newNetwork(1)
+	self := member.New("vm-self", "dc-0").WithAddresses("10.0.0.1:7001", "10.0.0.1:7002").WithIncarnation(1)
+	r := New(self, nil, 1, n.now)
+	var deltas []Delta
+	for i := range daemons {
+		id := member.ID(fmt.Sprintf("vm-%05d", i))
+		address := fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250)
+		deltas = append(deltas, Delta{ID: id, Incarnation: 1, Version: 1, Datacentre: "dc-0", Control: address, Data: address})
+		for b := range backends {
+			deltas = append(deltas, Delta{ID: id, Incarnation: 1, Version: 1, Backend: newBackend(id, b).ID, Service: "service", Slots: 4})
+		}
+	}
+	r.merge(deltas, false)
+	return r
+}
+
+// BenchmarkSecond measures the processor time of one second of the core: five
+// ticks, a probe made and answered, and a probe received.
+func BenchmarkSecond(b *testing.B) {
+	for _, size := range []struct{ daemons, backends int }{{100, 8}, {400, 8}, {1600, 8}, {400, 0}, {400, 32}} {
+		b.Run(fmt.Sprintf("daemons=%d/backends=%d", size.daemons, size.daemons*size.backends), func(b *testing.B) {
+			r := known(size.daemons, size.backends)
+			now := epoch
+			for b.Loop() {
+				for range 5 {
+					now = now.Add(TickInterval)
+					for _, a := range r.Update(now, Tick{}) {
+						if s, ok := a.(Send); ok {
+							r.Update(now, Answered{Seq: s.Seq, Message: Message{From: s.To, Incarnation: 1, Hash: r.table.hash()}})
+						}
+					}
+				}
+				r.Update(now, Received{Message: Message{Kind: Probe, From: "vm-00001", Incarnation: 1}})
+			}
+		})
+	}
+}
+
+// BenchmarkState measures the memory of a roster.
+func BenchmarkState(b *testing.B) {
+	for _, size := range []struct{ daemons, backends int }{{100, 8}, {400, 8}, {1600, 8}, {400, 0}, {400, 32}} {
+		b.Run(fmt.Sprintf("daemons=%d/backends=%d", size.daemons, size.daemons*size.backends), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			kept := make([]*Roster, 0, b.N)
+			for range b.N {
+				kept = append(kept, known(size.daemons, size.backends))
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(kept)), "state-B")
+			runtime.KeepAlive(kept)
+		})
+	}
+}
