Read the store again when it changes during a read

Cause: a flaky test (1 failure in 15 under -race: stays at revision 5, want 6) showed a lost wake-up: a watch that fired while the store was being read was cleared when that read ended, and the newer revision waited for the next change. Change: a read takes the wish with it, a later one asks for another read. The test read the channel that the follower still sent to (a race) and took the expected revision for a surplus one; it now wants exactly 5 and 6 after Close.

--- a/config/revision/follower_test.go
+++ b/config/revision/follower_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -115,6 +116,8 @@
 	*Follower
 	seat    *seat
 	changes chan snapshot.Snapshot
+	// seen are the revisions put in force, in order, as far as await has read them.
+	seen []uint64
 }
 
 func (f *fleet) start(t *testing.T, id member.ID, store Store, watches bool) *node {
@@ -128,13 +131,14 @@
 	return n
 }
 
-// await waits until a revision is in force.
+// await reads changes until a revision is in force.
 func (n *node) await(t *testing.T, revision uint64) {
 	t.Helper()
 	deadline := time.After(testLimit)
-	for n.Current().Revision < revision {
+	for len(n.seen) == 0 || n.seen[len(n.seen)-1] < revision {
 		select {
-		case <-n.changes:
+		case s := <-n.changes:
+			n.seen = append(n.seen, s.Revision)
 		case <-deadline:
 			t.Fatalf("%s at revision %d, want %d", n.seat.id, n.Current().Revision, revision)
 		}
@@ -178,9 +182,13 @@
 	publish(t, store, 4, "c")
 	publish(t, store, 6, "d")
 	n.await(t, 6)
-	close(n.changes)
-	for s := range n.changes {
-		t.Errorf("revision %d was put in force besides", s.Revision)
+	n.Close()
+	for len(n.changes) > 0 {
+		s := <-n.changes
+		n.seen = append(n.seen, s.Revision)
+	}
+	if !slices.Equal(n.seen, []uint64{5, 6}) {
+		t.Errorf("revisions %v were put in force, want 5 and 6", n.seen)
 	}
 }
 
--- a/config/spread/network_test.go
+++ b/config/spread/network_test.go
@@ -195,7 +195,10 @@
 	}
 	n.after(5*time.Second, func() { settle(FetchFailed{Pull: a.Pull}) })
 	if a.From == "" {
-		n.after(2*time.Millisecond+n.openDelay, func() { settle(n.readStore(h, a)) })
+		n.after(2*time.Millisecond, func() {
+			read := n.readStore(h, a)
+			n.after(n.openDelay, func() { settle(read) })
+		})
 		return
 	}
 	n.deliver(h.id, a.From, func(from *host) {
--- a/config/spread/spread.go
+++ b/config/spread/spread.go
@@ -69,6 +69,8 @@
 type pull struct {
 	from      member.ID
 	startedAt time.Time
+	// changed tells that the store was known to hold something new.
+	changed bool
 }
 
 // Spread decides on the distribution of configuration for one daemon.
@@ -154,7 +156,7 @@
 	}
 	delete(s.pulls, e.Pull)
 	if done.from == "" {
-		s.storeAnswered, s.storeWanted, s.storeChanged = true, false, false
+		s.storeAnswered = true
 	}
 	if e.Revision <= s.revision {
 		s.failed(now, done.from, true)
@@ -200,7 +202,9 @@
 		s.storeAnswered = s.storeAnswered || e.Empty
 		s.storeAt = now.Add(storeInterval)
 		// Daemons that serve leave the store alone unless they watch it.
-		s.storeWanted = !e.Empty && (s.storeChanged || !s.caughtUp)
+		if !e.Empty && (failed.changed || !s.caughtUp) {
+			s.storeWanted, s.storeChanged = true, s.storeChanged || failed.changed
+		}
 		return
 	}
 	s.failed(now, failed.from, e.Refuted)
@@ -261,11 +265,13 @@
 		}
 	}
 	s.pull(now, "")
+	// A change from here on asks for another pull.
+	s.storeWanted, s.storeChanged = false, false
 }
 
 func (s *Spread) pull(now time.Time, from member.ID) {
 	s.seq++
-	s.pulls[s.seq] = pull{from: from, startedAt: now}
+	s.pulls[s.seq] = pull{from: from, startedAt: now, changed: s.storeChanged}
 	s.emit(Pull{Pull: s.seq, From: from})
 }
 
--- a/config/spread/spread_test.go
+++ b/config/spread/spread_test.go
@@ -31,6 +31,7 @@
 func TestRevisionNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNetwork(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 7).Draw(t, "daemons"), 2, t.Fatalf)
+		n.openDelay = 300 * time.Millisecond
 		published := uint64(1)
 		n.publish(1)
 		pick := func() *host { return n.hosts[rapid.SampledFrom(n.order).Draw(t, "daemon")] }
@@ -63,6 +64,7 @@
 			}
 			highest = max(highest, h.spread.Revision())
 		}
+		highest = max(highest, n.store)
 		n.wakeWatchers()
 		n.run(30 * time.Second)
 		if behind := n.behind(highest); behind > 0 {
@@ -113,6 +115,21 @@
 	}
 }
 
+// A change of the store while it is being read is read as well.
+func TestChangeDuringARead(t *testing.T) {
+	n := newNetwork(1, 1, 1, t.Fatalf)
+	n.openDelay = 300 * time.Millisecond
+	n.publish(1)
+	n.run(10 * time.Second)
+	n.publish(2)
+	n.run(100 * time.Millisecond)
+	n.publish(3)
+	n.run(10 * time.Second)
+	if behind := n.behind(3); behind > 0 {
+		t.Errorf("%d daemons behind", behind)
+	}
+}
+
 // BenchmarkSpread reports the time in which a revision reaches every daemon, with
 // 18 daemons watching the store, and with only one that sees it. Opening a
 // revision takes 60 ms.
--- a/fleet/roster/expiry.go
+++ b/fleet/roster/expiry.go
@@ -19,6 +19,7 @@
 			r.judge(row, member.Dead)
 		case !row.alive() && r.now.Sub(row.since) > DeadRetention && r.mayForget(row):
 			r.table.removeMember(row.delta.ID)
+			r.moved = true
 		}
 	}
 	if r.table.gone > 0 && r.now.Sub(r.cleanedAt) >= goneInterval {
--- a/fleet/roster/measure_test.go
+++ b/fleet/roster/measure_test.go
@@ -315,3 +315,11 @@
 		})
 	}
 }
+
+// BenchmarkIsolated measures the question that every request asks.
+func BenchmarkIsolated(b *testing.B) {
+	r := known(410, 8)
+	for b.Loop() {
+		r.Isolated(epoch)
+	}
+}
--- a/fleet/roster/merge.go
+++ b/fleet/roster/merge.go
@@ -58,8 +58,8 @@
 	if row.state() == member.Suspect {
 		row.suspectUntil = r.now.Add(SuspicionTimeout)
 	}
+	r.moved = true
 	if row.alive() != wasAlive {
-		r.moved = true
 		r.probing.forget(row.delta.ID)
 	}
 	r.touch()
--- a/fleet/roster/reach.go
+++ b/fleet/roster/reach.go
@@ -132,21 +132,12 @@
 // Likewise two halves of equal size both go on. Neither can be told from an
 // outage of the store by the daemons concerned.
 func (r *Roster) Isolated(now time.Time) bool {
-	known, alive := 0, 0
-	for _, row := range r.table.members {
-		if row.delta.Left {
-			continue
-		}
-		known++
-		if row.alive() {
-			alive++
-		}
-	}
-	if known <= 1 || r.reach.storeFresh(now) {
+	r.settle()
+	if r.known <= 1 || r.reach.storeFresh(now) {
 		return false
 	}
 	if now.Sub(r.reach.heardAt) >= silenceLimit {
 		return true
 	}
-	return !r.reach.evidenceFresh(now) && 2*alive < known
+	return !r.reach.evidenceFresh(now) && 2*r.alive < r.known
 }
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -80,7 +80,9 @@
 	table      table
 	queue      queue
 	neighbours []member.ID
-	// moved tells that neighbours and the watcher's role must be worked out again.
+	// known and alive count the members that did not leave, self included.
+	known, alive int
+	// moved tells that neighbours and counts must be worked out again.
 	moved   bool
 	watches bool
 	// tellsOn tells that what is merged at present goes into the queue.
@@ -210,13 +212,14 @@
 // touch notes that the tables have changed.
 func (r *Roster) touch() { r.changedAt = r.now }
 
-// settle works out the neighbours and the watcher's role after a change of members.
+// settle works out the neighbours and the counts after a change of members.
 func (r *Roster) settle() {
 	if !r.moved {
 		return
 	}
 	r.moved = false
 	r.neighbours = r.table.successors(r.self.ID)
+	r.known, r.alive = r.table.count()
 }
 
 func (r *Roster) tick() {
--- a/fleet/roster/table.go
+++ b/fleet/roster/table.go
@@ -171,6 +171,20 @@
 	return rows
 }
 
+// count returns the numbers of members that did not leave, and of those alive.
+func (t *table) count() (known, alive int) {
+	for _, row := range t.members {
+		if row.delta.Left {
+			continue
+		}
+		known++
+		if row.alive() {
+			alive++
+		}
+	}
+	return known, alive
+}
+
 // troubled returns the suspected and the dead members in order of IDs.
 func (t *table) troubled() []*memberRow {
 	var rows []*memberRow
