Limits: whole grants are renewed whole, asks go out together, the dead are passed over

Cause: a daemon that had got part of a limit kept parts beside each other for good; each shard's ask was a message of its own; shares were given to daemons known to be dead.

--- a/limit/holder/account.go
+++ b/limit/holder/account.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -121,10 +122,10 @@
 	return now.Before(a.contendedUntil)
 }
 
-// wholeLent reports whether the grants use up the limit and do not exceed it.
-func (a *account) wholeLent() bool {
-	room := a.capacity - a.outToken
-	return room >= 0 && room < 1 && a.outRate <= a.rate
+// whole reports whether a grant is the whole limit, and nothing else is lent.
+func (a *account) whole(g grant) bool {
+	const precision = 1e-9
+	return math.Abs(g.rate-a.rate) < precision && math.Abs(g.capacity-a.capacity) < precision && len(a.grants) == 1
 }
 
 // lentToOthers returns the index of a refilling grant of another daemon, or -1.
--- a/limit/holder/holder.go
+++ b/limit/holder/holder.go
@@ -156,7 +156,12 @@
 		granted.Verdict, granted.RetryAfter = message.Recalling, recallWait
 		return granted, a.recall(now, i, item.Organisation)
 	}
-	if i := a.find(item.Extend, from); i >= 0 && !contended && a.wholeLent() {
+	if item.Extend != 0 {
+		i := a.find(item.Extend, from)
+		if i < 0 || contended || !a.whole(a.grants[i]) {
+			granted.Verdict, granted.Grant.ID = message.Stale, item.Extend
+			return granted, nil
+		}
 		a.grants[i].ends = now.Add(term.Wait(term.Grant))
 		granted.Verdict = message.Extended
 		granted.Grant = message.Grant{ID: item.Extend, Valid: term.Grant}
@@ -185,9 +190,6 @@
 	switch {
 	case !contended && item.Demand >= soleDemand && room >= 1 && a.bucket.Rate > 0:
 		g.Level, g.Capacity, g.Rate, g.Valid = a.bucket.Level, room, a.bucket.Rate, term.Grant
-	case item.Want == 0:
-		granted.Verdict = message.Empty
-		return
 	case whole >= 1:
 		n := batch(item, whole)
 		g.Level, g.Capacity, g.Valid = float64(n), float64(n), term.Batch
--- a/limit/limiter/draw.go
+++ b/limit/limiter/draw.go
@@ -161,7 +161,7 @@
 }
 
 func (l *Limiter) usable(now time.Time, id member.ID, p *pending) bool {
-	return !now.Before(l.down[id]) && !slices.Contains(p.tried, id)
+	return !now.Before(l.down[id]) && !l.dead[id] && !slices.Contains(p.tried, id)
 }
 
 // flush sends what is queued, and meets at once what the daemon can lend to itself.
@@ -216,6 +216,9 @@
 		waiting = p.waiting
 	}
 	extend := item.Extend
+	if extend != 0 {
+		waiting = 0
+	}
 	*item = l.borrower.Item(now, item.Organisation, waiting)
 	item.Extend = extend
 }
@@ -266,6 +269,11 @@
 		case message.Extended:
 			l.borrower.Extended(asked, now, from, g.Organisation, g.Grant)
 			continue
+		case message.Stale:
+			if back, ok := l.borrower.GiveBack(now, from, g.Organisation, g.Grant.ID); ok {
+				actions = append(actions, l.giveBack(now, map[member.ID][]message.Returned{from: {back}})...)
+			}
+			continue
 		case message.Empty:
 			l.borrower.Refuse(now, g.Organisation, now.Add(g.RetryAfter))
 		case message.Recalling:
--- a/limit/limiter/fleet_test.go
+++ b/limit/limiter/fleet_test.go
@@ -38,6 +38,7 @@
 	loss, double float64
 	delay        func() time.Duration
 	cut          map[[2]int]bool
+	dead         map[int]bool
 	storeCut     map[int]bool
 	lostAnswer   float64
 
@@ -124,6 +125,9 @@
 	var list []member.Member
 	for _, n := range f.nodes {
 		m := member.New(n.id, fmt.Sprintf("dc-%d", n.index%3))
+		if f.dead[n.index] {
+			m = m.WithState(member.Dead)
+		}
 		list = append(list, m)
 	}
 	return list
--- a/limit/limiter/limiter.go
+++ b/limit/limiter/limiter.go
@@ -44,6 +44,7 @@
 	started   time.Time
 	members   []member.Member
 	changedAt time.Time
+	dead      map[member.ID]bool
 	leaving   bool
 	listing   bool
 	listed    bool
@@ -84,6 +85,10 @@
 	case Members:
 		l.members, l.changedAt = e.List, now
 		l.placeAll()
+		l.dead = map[member.ID]bool{}
+		for _, m := range e.List {
+			l.dead[m.ID] = m.State == member.Dead
+		}
 	case Configured:
 		l.limits = e.Limits
 		l.holder.SetLimits(e.Limits)
--- a/limit/limiter/measure_test.go
+++ b/limit/limiter/measure_test.go
@@ -7,6 +7,8 @@
 	"net/rpc"
 	"testing"
 	"time"
+
+	"berylpass/limit/limiter"
 )
 
 // measured limits: many small organisations and a few large ones.
@@ -24,6 +26,8 @@
 	utilisation = 0.7
 	warmUp      = 40 * time.Second
 	span        = 300 * time.Second
+	// detection is the time after which the members know that a daemon is dead.
+	detection = 5 * time.Second
 	// envelope is the size of a TLS record's header and tag, in bytes.
 	envelope = 22
 )
@@ -109,6 +113,16 @@
 	}
 }
 
+// declareDead lets all nodes know that one is dead.
+func (f *fleet) declareDead(index int) {
+	f.dead = map[int]bool{index: true}
+	for _, n := range f.nodes {
+		if !n.down {
+			f.feed(n, limiter.Members{List: f.members()})
+		}
+	}
+}
+
 func measure(b *testing.B, scenario string, nodes int) {
 	const abusive = "organisation-07"
 	f := newFleet(11, nodes, measuredLimits())
@@ -143,6 +157,7 @@
 	f.runFor(span / 3)
 	if scenario == "killed" || scenario == "killed-store-away" {
 		f.stop(f.nodes[0])
+		f.at(detection, func() { f.declareDead(0) })
 	}
 	if scenario == "killed-store-away" {
 		for i := range nodes {
@@ -166,6 +181,12 @@
 		split += base.refused[name]
 		worst = max(worst, 100*float64(f.refused[name])/float64(max(1, f.offered[name])))
 	}
+	kinds := map[limit][2]int{}
+	for name, l := range f.limits {
+		k := kinds[l]
+		kinds[l] = [2]int{k[0] + f.refused[name], k[1] + f.offered[name]}
+	}
+	b.Log(scenario, kinds)
 	all := 0
 	for _, n := range f.offered {
 		all += n
--- a/limit/limiter/seat.go
+++ b/limit/limiter/seat.go
@@ -64,7 +64,8 @@
 			}
 		}
 		if !now.Before(s.askAt) {
-			s.askAt = now.Add(l.askInterval(now, s))
+			interval := l.askInterval(now, s)
+			s.askAt = now.Truncate(interval).Add(interval) // Asks to one daemon go out together.
 			for _, id := range s.lease.Others() {
 				asks[id] = append(asks[id], s.lease.Ask(now))
 			}
--- a/limit/message/message.go
+++ b/limit/message/message.go
@@ -64,6 +64,9 @@
 	Empty
 	// Recalling means that tokens are being called back from another daemon: ask again after RetryAfter.
 	Recalling
+	// Stale means that the grant named by Extend should be given back: there is more to have, or
+	// others have asked.
+	Stale
 	// Elsewhere means that the holder may grant nothing; Primary names who may, if known.
 	Elsewhere
 )
