Limits: keep asking for loans after the first holder is gone

Cause: an acting primary that was not the first holder let its loan lapse between asks and lost its level each time. Change: it asks at the short interval while it acts, or is the first live holder.

--- a/limit/limiter/seat.go
+++ b/limit/limiter/seat.go
@@ -36,6 +36,8 @@
 	readAt  time.Time
 	reading bool
 	giveAt  time.Time
+	// actedAt is when the daemon last used a co-holder's shares.
+	actedAt time.Time
 }
 
 // tendSeats keeps the leases: asks, reads, writes, donations.
@@ -108,14 +110,29 @@
 
 // askInterval is short for a daemon that uses or should get co-holders' shares, long for the others.
 func (l *Limiter) askInterval(now time.Time, s *seat) time.Duration {
+	if !s.lease.WantsLoan(now) {
+		return promiseInterval
+	}
 	record, _, _ := s.lease.Record()
-	acting := len(s.lease.Usable(now)) > len(record.SharesOf(l.self))
-	if s.lease.WantsLoan(now) && (acting || record.Owners[0] == l.self) {
+	if len(s.lease.Usable(now)) > len(record.SharesOf(l.self)) {
+		s.actedAt = now
+	}
+	if now.Sub(s.actedAt) < 2*promiseInterval || l.first(record) == l.self {
 		return loanInterval
 	}
 	return promiseInterval
 }
 
+// first returns the first holder that is not known to be dead.
+func (l *Limiter) first(record allotment.Record) member.ID {
+	for _, id := range record.Holders() {
+		if !l.dead[id] {
+			return id
+		}
+	}
+	return ""
+}
+
 // claim reads, and so perhaps creates, the record of a shard that the daemon should hold.
 func (l *Limiter) claim(now time.Time, shard int, reads *int) (ReadRecord, bool) {
 	r := &l.routes[shard]
