Hold changes of the limits to the oracle

Cause: a changed rate was not in the random schedules. Change: nodes take up scaled limits at different times; the oracle allows the largest limit in force within the last 4.1 s (a grant's life).

--- a/limit/limiter/fleet_test.go
+++ b/limit/limiter/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -42,6 +43,9 @@
 	storeCut     map[int]bool
 	lostAnswer   float64
 
+	// scales are the changes of the largest configured scale, in order.
+	scales []scaled
+
 	runs     map[string][]time.Duration
 	admitted map[string]int
 	refused  map[string]int
@@ -71,6 +75,7 @@
 	pausedUntil time.Duration
 	down        bool
 	limits      map[string]limit
+	scale       float64
 	waiting     map[string][]request
 }
 
@@ -112,12 +117,13 @@
 		f.shards[allotment.Shard(name)] = true
 	}
 	for i := range n {
-		nd := &node{index: i, id: member.ID(fmt.Sprintf("vm-%d", i)), limits: limits, down: true}
+		nd := &node{index: i, id: member.ID(fmt.Sprintf("vm-%d", i)), limits: limits, scale: 1, down: true}
 		f.nodes = append(f.nodes, nd)
 	}
 	for _, nd := range f.nodes {
 		f.start(nd)
 	}
+	f.noteScale()
 	return f
 }
 
@@ -434,13 +440,76 @@
 	return 0.02
 }
 
-// excess returns by how many runs the worst window exceeds burst + rate*t.
+// scaled is a change of the largest configured scale of the limits in force at any node.
+type scaled struct {
+	at    time.Duration
+	scale float64
+}
+
+// changeTail is how long what was lent under an earlier configuration may be used.
+const changeTail = 4100 * time.Millisecond
+
+// configure puts all limits times scale in force at one node.
+func (f *fleet) configure(n *node, scale float64) {
+	n.scale = scale
+	n.limits = map[string]limit{}
+	for name, l := range f.limits {
+		n.limits[name] = l.times(scale)
+	}
+	f.noteScale()
+	if !n.down {
+		f.feed(n, limiter.Configured{Limits: n.limitsOf()})
+	}
+}
+
+// noteScale records the largest scale in force at any node.
+func (f *fleet) noteScale() {
+	largest := 0.0
+	for _, n := range f.nodes {
+		largest = max(largest, n.scale)
+	}
+	f.scales = append(f.scales, scaled{at: f.now, scale: largest})
+}
+
+func (l limit) times(scale float64) limit {
+	return limit{rate: l.rate * scale, burst: int(math.Ceil(float64(l.burst) * scale))}
+}
+
+// scaleAt returns the largest scale in force at t or up to the tail before it, and until
+// when that surely holds.
+func (f *fleet) scaleAt(t time.Duration) (float64, time.Duration) {
+	scale, until := 0.0, time.Duration(math.MaxInt64)
+	for i, s := range f.scales {
+		end := time.Duration(math.MaxInt64)
+		if i+1 < len(f.scales) {
+			end = f.scales[i+1].at + changeTail
+		}
+		if s.at <= t && t < end {
+			scale = max(scale, s.scale)
+			until = min(until, end)
+		}
+		if s.at > t {
+			until = min(until, s.at)
+		}
+	}
+	return scale, until
+}
+
+// excess returns by how many runs the worst window exceeds burst + rate*t, with the largest
+// limit in force at each time.
 func (f *fleet) excess(name string) float64 {
-	l := f.limits[name]
-	level, worst, last := float64(l.burst), 0.0, time.Duration(0)
+	level, worst, last := math.Inf(1), 0.0, time.Duration(0)
 	for _, at := range f.runs[name] {
-		level = min(float64(l.burst), level+l.rate*(at-last).Seconds()) - 1
-		last = at
+		for last <= at {
+			scale, until := f.scaleAt(last)
+			l, end := f.limits[name].times(scale), min(until, at)
+			level = min(float64(l.burst), level+l.rate*(end-last).Seconds())
+			last = end
+			if until > at {
+				break
+			}
+		}
+		level--
 		worst = max(worst, -level)
 	}
 	return worst
--- a/limit/limiter/oracle_test.go
+++ b/limit/limiter/oracle_test.go
@@ -103,7 +103,7 @@
 	n := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(rt, "node")]
 	other := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(rt, "other")]
 	link := [2]int{n.index, other.index}
-	switch rapid.SampledFrom([]string{"cut", "cut", "heal", "store-cut", "store-back", "store-away", "pause", "restart", "stop", "leave"}).Draw(rt, "fault") {
+	switch rapid.SampledFrom([]string{"cut", "cut", "heal", "store-cut", "store-back", "store-away", "pause", "restart", "stop", "leave", "configure"}).Draw(rt, "fault") {
 	case "cut":
 		f.cut[link] = true
 	case "heal":
@@ -123,6 +123,11 @@
 		f.start(n)
 	case "stop":
 		f.stop(n)
+	case "configure":
+		scale := rapid.SampledFrom([]float64{1, 1.5, 2, 3}).Draw(rt, "scale")
+		for _, n := range f.nodes {
+			f.at(time.Duration(rapid.IntRange(0, 15000).Draw(rt, "after"))*time.Millisecond, func() { f.configure(n, scale) })
+		}
 	case "leave":
 		if !n.down {
 			f.feed(n, limiter.Leave{})
