Limits: lend refilling parts of a contended limit

Cause: where many daemons draw from one organisation every draw cost a call. Change: a daemon with a demand of its own gets its demand's share of rate and burst for some seconds; two fifths stay as a pool with the holder for those that run out.

--- a/limit/borrower/borrower.go
+++ b/limit/borrower/borrower.go
@@ -63,6 +63,8 @@
 	bucket bucket.Bucket
 	ends   time.Time
 	lapse  time.Duration
+	// part is set if the holder may have tokens when this grant has none.
+	part bool
 	// closed is set once the grant is given back; its ID stays known until it would have ended.
 	closed bool
 	// drawn are the lapse times of the tokens drawn that may still run, in order.
@@ -138,13 +140,14 @@
 	}
 }
 
-// Next returns the time until a refilling grant has its next token, if the daemon holds one.
+// Next returns the time until a refilling grant has its next token, if the daemon holds one that
+// is all there is.
 func (b *Borrower) Next(now time.Time, organisation string) (time.Duration, bool) {
 	next, ok := time.Duration(0), false
 	for i := range b.account(now, organisation).held {
 		h := &b.accounts[organisation].held[i]
 		left := h.ends.Sub(now)
-		if h.closed || h.bucket.Rate <= 0 || left <= 0 {
+		if h.closed || h.part || h.bucket.Rate <= 0 || left <= 0 {
 			continue
 		}
 		wait := h.bucket.Next(left)
@@ -227,7 +230,7 @@
 	if known || !now.Before(ends) {
 		return
 	}
-	h := held{holder: holder, id: g.ID, bucket: bucket.New(now, g.Rate, g.Capacity), ends: ends, lapse: g.Lapse}
+	h := held{holder: holder, id: g.ID, bucket: bucket.New(now, g.Rate, g.Capacity), ends: ends, lapse: g.Lapse, part: g.Part}
 	h.bucket.Level = g.Level
 	a.held = append(a.held, h)
 	a.refusedUntil = time.Time{}
--- a/limit/holder/account.go
+++ b/limit/holder/account.go
@@ -31,6 +31,8 @@
 	to       member.ID
 	capacity float64
 	rate     float64
+	// part is set if it is a refilling part of the limit, lent while others ask as well.
+	part bool
 	// ends is when it has surely ended.
 	ends time.Time
 	// recalledAt is when it was last called back.
@@ -128,9 +130,40 @@
 	return math.Abs(g.rate-a.rate) < precision && math.Abs(g.capacity-a.capacity) < precision && len(a.grants) == 1
 }
 
-// lentToOthers returns the index of a refilling grant of another daemon, or -1.
+// lentToOthers returns the index of another daemon's grant of all there was, or -1.
 func (a *account) lentToOthers(from member.ID) int {
-	return slices.IndexFunc(a.grants, func(g grant) bool { return g.rate > 0 && g.to != from })
+	return slices.IndexFunc(a.grants, func(g grant) bool { return g.rate > 0 && !g.part && g.to != from })
+}
+
+// parted reports whether another daemon has a part.
+func (a *account) parted(from member.ID) bool {
+	return slices.ContainsFunc(a.grants, func(g grant) bool { return g.part && g.to != from })
+}
+
+// hasPart reports whether the daemon has a part.
+func (a *account) hasPart(from member.ID) bool {
+	return slices.ContainsFunc(a.grants, func(g grant) bool { return g.part && g.to == from })
+}
+
+// part works out the refilling part that a daemon of the given demand may have: its demand's
+// share of rate and burst, while a pool stays for all.
+func (a *account) part(demand float64) (rate, capacity float64, ok bool) {
+	if demand < partDemand || a.rate <= 0 {
+		return 0, 0, false
+	}
+	rate = min(demand, a.bucket.Rate-a.rate*poolShare)
+	capacity = math.Floor(a.capacity * (1 - poolShare) * min(1, demand/a.rate))
+	room := a.capacity*(1-poolShare) - a.outToken
+	return rate, capacity, rate >= demand/2 && capacity >= partCapacity && capacity <= room
+}
+
+// keeps reports whether a grant may be extended: it is the whole limit and nobody else asks, or
+// it is a part that is still in use while others have parts or ask.
+func (a *account) keeps(g grant, demand float64, contended bool) bool {
+	if !g.part {
+		return !contended && a.whole(g)
+	}
+	return contended && demand >= g.rate/4 && a.outRate <= a.rate && a.outToken <= a.capacity
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/limit/holder/holder.go
+++ b/limit/holder/holder.go
@@ -17,6 +17,7 @@
 package holder
 
 import (
+	"math"
 	"time"
 
 	"berylpass/fleet/member"
@@ -35,6 +36,12 @@
 	batchSpan = 250 * time.Millisecond
 	// batchShare is the part of the level that one batch may take, as a divisor.
 	batchShare = 4
+	// partDemand is the demand in draws per second from which a daemon gets a part of a contended limit.
+	partDemand = 1
+	// partCapacity is the smallest capacity of a part, in tokens.
+	partCapacity = 2
+	// poolShare is the part of a contended limit that stays with the holder.
+	poolShare = 0.4
 	// recallRetry is the time after which a recall without answer is sent again.
 	recallRetry = 50 * time.Millisecond
 	// recallWait is how long a daemon waits before it asks again during a recall.
@@ -150,7 +157,7 @@
 		return granted, nil
 	}
 	a := h.account(now, s, item.Organisation)
-	contended := a.noteAsker(now, from)
+	contended := a.noteAsker(now, from) || a.parted(from)
 	if i := a.lentToOthers(from); i >= 0 {
 		a.contendedUntil = now.Add(contention)
 		granted.Verdict, granted.RetryAfter = message.Recalling, recallWait
@@ -158,7 +165,7 @@
 	}
 	if item.Extend != 0 {
 		i := a.find(item.Extend, from)
-		if i < 0 || contended || !a.whole(a.grants[i]) {
+		if i < 0 || !a.keeps(a.grants[i], item.Demand, contended) {
 			granted.Verdict, granted.Grant.ID = message.Stale, item.Extend
 			return granted, nil
 		}
@@ -187,11 +194,16 @@
 	room := a.capacity - a.outToken
 	whole := a.bucket.Whole()
 	g := message.Grant{Lapse: lapse}
+	partRate, wanted, partOK := a.part(item.Demand)
+	partOK = partOK && contended && !a.hasPart(from)
 	switch {
 	case !contended && item.Demand >= soleDemand && room >= 1 && a.bucket.Rate > 0:
 		g.Level, g.Capacity, g.Rate, g.Valid = a.bucket.Level, room, a.bucket.Rate, term.Grant
+	case whole >= 1 && partOK:
+		g.Level = min(wanted, max(1, math.Floor(float64(whole)*wanted/a.capacity)))
+		g.Capacity, g.Rate, g.Valid, g.Part = wanted, partRate, term.Grant, true
 	case whole >= 1:
-		n := batch(item, whole)
+		n := batch(item, whole, a.hasPart(from))
 		g.Level, g.Capacity, g.Valid = float64(n), float64(n), term.Batch
 		if n == 1 {
 			g.Valid = max(lapse, term.MinLapse)
@@ -202,13 +214,17 @@
 	}
 	h.nextID++
 	g.ID = h.nextID
-	a.lend(grant{id: g.ID, to: from, capacity: g.Capacity, rate: g.Rate, ends: now.Add(term.Wait(g.Valid))}, g.Level)
+	a.lend(grant{id: g.ID, to: from, capacity: g.Capacity, rate: g.Rate, part: g.Part, ends: now.Add(term.Wait(g.Valid))}, g.Level)
 	granted.Verdict, granted.Grant = message.Lent, g
 }
 
 // batch returns how many of the whole tokens a daemon gets: what waits, and its demand of
 // the next batchSpan as far as that takes no more than a part of the level.
-func batch(item message.BorrowItem, whole int) int {
+// A daemon that has a part already gets only what waits.
+func batch(item message.BorrowItem, whole int, hasPart bool) int {
+	if hasPart {
+		return min(max(item.Want, 1), whole)
+	}
 	ahead := min(int(item.Demand*batchSpan.Seconds()), whole/batchShare)
 	return min(max(item.Want, ahead, 1), whole)
 }
--- a/limit/message/message.go
+++ b/limit/message/message.go
@@ -93,6 +93,8 @@
 	Rate float64
 	// Valid is counted from when the daemon asked.
 	Valid time.Duration
+	// Part tells that the holder keeps tokens of the organisation for daemons that run out.
+	Part bool
 	// Lapse is the longest time between a draw and the dispatch.
 	Lapse time.Duration
 }
