--- a/limit/holder/account.go
+++ b/limit/holder/account.go
@@ -23,6 +23,8 @@
 	lastAsker      member.ID
 	lastAsked      time.Time
 	contendedUntil time.Time
+	// scarceUntil is set while the limit is too short to be lent in parts.
+	scarceUntil time.Time
 }
 
 // grant is a grant that has not surely ended.
@@ -104,7 +106,7 @@
 		return
 	}
 	left := a.grants[i]
-	left.id, left.to = 0, ""
+	left.id, left.to, left.part = 0, "", false
 	left.rate, left.capacity = 0, float64(drawn)
 	left.ends = earlier(left.ends, now.Add(term.Wait(term.MaxLapse)))
 	a.drop(i)
@@ -135,6 +137,17 @@
 	return slices.IndexFunc(a.grants, func(g grant) bool { return g.rate > 0 && !g.part && g.to != from })
 }
 
+// largestPart returns the index of another daemon's largest part, or -1.
+func (a *account) largestPart(from member.ID) int {
+	largest := -1
+	for i, g := range a.grants {
+		if g.part && g.to != from && (largest < 0 || g.capacity > a.grants[largest].capacity) {
+			largest = i
+		}
+	}
+	return largest
+}
+
 // parted reports whether another daemon has a part.
 func (a *account) parted(from member.ID) bool {
 	return slices.ContainsFunc(a.grants, func(g grant) bool { return g.part && g.to != from })
@@ -147,8 +160,8 @@
 
 // part works out the refilling part that a daemon of the given demand may have: its demand's
 // share of rate and burst, while a pool stays for all.
-func (a *account) part(demand float64) (rate, capacity float64, ok bool) {
-	if demand < partDemand || a.rate <= 0 {
+func (a *account) part(now time.Time, demand float64) (rate, capacity float64, ok bool) {
+	if demand < partDemand || a.rate <= 0 || now.Before(a.scarceUntil) {
 		return 0, 0, false
 	}
 	rate = min(demand, a.bucket.Rate-a.rate*poolShare)
@@ -159,11 +172,11 @@
 
 // keeps reports whether a grant may be extended: it is the whole limit and nobody else asks, or
 // it is a part that is still in use while others have parts or ask.
-func (a *account) keeps(g grant, demand float64, contended bool) bool {
+func (a *account) keeps(now time.Time, g grant, demand float64, contended bool) bool {
 	if !g.part {
 		return !contended && a.whole(g)
 	}
-	return contended && demand >= g.rate/4 && a.outRate <= a.rate && a.outToken <= a.capacity
+	return contended && !now.Before(a.scarceUntil) && demand >= g.rate/4 && a.outRate <= a.rate && a.outToken <= a.capacity
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/limit/holder/holder.go
+++ b/limit/holder/holder.go
@@ -42,6 +42,8 @@
 	partCapacity = 2
 	// poolShare is the part of a contended limit that stays with the holder.
 	poolShare = 0.4
+	// scarcity is how long no parts are lent after the pool ran empty.
+	scarcity = 5 * time.Second
 	// recallRetry is the time after which a recall without answer is sent again.
 	recallRetry = 50 * time.Millisecond
 	// recallWait is how long a daemon waits before it asks again during a recall.
@@ -158,14 +160,21 @@
 	}
 	a := h.account(now, s, item.Organisation)
 	contended := a.noteAsker(now, from) || a.parted(from)
-	if i := a.lentToOthers(from); i >= 0 {
+	i := a.lentToOthers(from)
+	if i >= 0 {
 		a.contendedUntil = now.Add(contention)
+	} else if i = a.largestPart(from); i >= 0 && a.bucket.Whole() < 1 {
+		a.scarceUntil = now.Add(scarcity)
+	} else {
+		i = -1
+	}
+	if i >= 0 && item.Extend == 0 {
 		granted.Verdict, granted.RetryAfter = message.Recalling, recallWait
 		return granted, a.recall(now, i, item.Organisation)
 	}
 	if item.Extend != 0 {
 		i := a.find(item.Extend, from)
-		if i < 0 || !a.keeps(a.grants[i], item.Demand, contended) {
+		if i < 0 || !a.keeps(now, a.grants[i], item.Demand, contended) {
 			granted.Verdict, granted.Grant.ID = message.Stale, item.Extend
 			return granted, nil
 		}
@@ -194,7 +203,7 @@
 	room := a.capacity - a.outToken
 	whole := a.bucket.Whole()
 	g := message.Grant{Lapse: lapse}
-	partRate, wanted, partOK := a.part(item.Demand)
+	partRate, wanted, partOK := a.part(now, item.Demand)
 	partOK = partOK && contended && !a.hasPart(from)
 	switch {
 	case !contended && item.Demand >= soleDemand && room >= 1 && a.bucket.Rate > 0:
