--- a/limit/limiter/fleet_test.go
+++ b/limit/limiter/fleet_test.go
@@ -54,6 +54,7 @@
 	messages int
 	bytes    int
 	writes   int
+	reads    int
 	onRefuse func(organisation string)
 	// sizeOf, if set, returns the size of a message in bytes.
 	sizeOf func(any) int
@@ -321,6 +322,7 @@
 }
 
 func (f *fleet) read(shard int) limiter.Read {
+	f.reads++
 	s, ok := f.records[shard]
 	if !f.shards[shard] {
 		return limiter.Read{Shard: shard, Failed: true}
