--- /dev/null
+++ b/daemon/observer.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"berylpass/attempt/id"
+	"berylpass/choice/gate"
+	"berylpass/choice/picker"
+	"berylpass/choice/report"
+	"berylpass/fleet/backend"
+	"berylpass/fleet/member"
+	"berylpass/ingress"
+	"berylpass/operate/burn"
+	"berylpass/operate/event"
+)
+
+// shedding holds the reasons for which a gate refuses a request that could not finish in time.
+var shedding = map[string]bool{
+	gate.Late.String():      true,
+	gate.QueueFull.String(): true,
+	gate.PushedOut.String(): true,
+	gate.Stalled.String():   true,
+}
+
+// observer turns what the parts of a daemon tell into log events and metrics.
+type observer struct {
+	logger  zerolog.Logger
+	metrics metrics.Registry
+	// changed, noticed and heard pass news on to other parts.
+	changed func(b backend.Backend)
+	noticed func(id backend.ID, r report.Report)
+	heard   func(revision uint64, from member.ID)
+	// service returns the service of a backend server, empty if unknown.
+	service func(id backend.ID) string
+	clock   func() time.Time
+	burn    *burn.Recorder
+}
+
+func (o *observer) count(name string) { metrics.GetOrRegisterCounter(name, o.metrics).Inc(1) }
+
+// BackendChanged implements guard.Observer.
+func (o *observer) BackendChanged(b backend.Backend) {
+	e := event.BackendAnnounced
+	switch b.State {
+	case backend.Draining:
+		e = event.BackendDraining
+	case backend.Gone:
+		e = event.BackendGone
+	case backend.Serving:
+	}
+	e.Log(&o.logger).Str("backend", string(b.ID)).Str("service", b.Service).Send()
+	o.changed(b)
+}
+
+// Refused implements guard.Observer.
+func (o *observer) Refused(reason string) {
+	o.count(`guard-refusals{reason="` + reason + `"}`)
+	told := event.GuardRefused
+	if shedding[reason] {
+		told = event.ShedQueue
+	}
+	told.Log(&o.logger).Str("reason", reason).Send()
+}
+
+// Noticed implements guard.Observer.
+func (o *observer) Noticed(id backend.ID, r report.Report) { o.noticed(id, r) }
+
+// Ejected implements chooser.Observer.
+func (o *observer) Ejected(e picker.Ejected) {
+	o.count(`ejections{reason="` + e.Reason.String() + `"}`)
+	metrics.GetOrRegisterTimer("detection-time", o.metrics).Update(e.After)
+	now := o.clock()
+	o.burn.Eject(now, string(e.Backend), o.service(e.Backend), e.Reason.String(), now.Add(-e.After))
+	told := event.Ejected
+	if e.Reason == picker.BadPath {
+		told = event.PathBroken
+	}
+	told.Log(&o.logger).Str("backend", string(e.Backend)).Stringer("reason", e.Reason).Dur("after", e.After).Send()
+}
+
+// Restored implements chooser.Observer.
+func (o *observer) Restored(r picker.Restored) {
+	o.count("restorations")
+	o.burn.Restore(o.clock(), string(r.Backend))
+	told := event.Restored
+	if r.Reason == picker.BadPath {
+		told = event.PathMended
+	}
+	told.Log(&o.logger).Str("backend", string(r.Backend)).Dur("out", r.Out).Send()
+}
+
+// Ended implements ingress.Observer.
+func (o *observer) Ended(now time.Time, r ingress.Record) {
+	o.count(`requests{outcome="` + string(r.Outcome) + `"}`)
+	metrics.GetOrRegisterTimer("request-time", o.metrics).Update(r.Took)
+	if r.Outcome == ingress.Unknown {
+		event.UnknownOutcome.Log(&o.logger).Str("route", r.Route).Str("reason", r.Reason).Send()
+	}
+	if r.Route == "" {
+		return
+	}
+	o.burn.Record(now, burn.Sample{
+		Route: r.Route, Organisation: r.Organisation, Objective: r.Objective, Outcome: burnOutcome(r), Latency: r.Took,
+	})
+}
+
+// burnOutcome tells how a request counts against its route's objective.
+func burnOutcome(r ingress.Record) burn.Outcome {
+	late := r.Took > r.Deadline || r.Status >= http.StatusInternalServerError
+	switch {
+	case r.Outcome == ingress.Answered && late:
+		return burn.Late
+	case r.Outcome == ingress.Answered:
+		return burn.InTime
+	case r.Outcome == ingress.Unknown:
+		return burn.Unknown
+	case r.Reason == ingress.ReasonOverLimit:
+		return burn.OverRate
+	}
+	return burn.NotRun
+}
+
+// AnswerDropped implements ingress.Observer.
+func (o *observer) AnswerDropped(attempt id.ID) {
+	o.count("answers-dropped")
+	event.AnswerDropped.Log(&o.logger).Stringer("attempt", attempt).Send()
+}
+
+// BudgetEmpty implements ingress.Observer.
+func (o *observer) BudgetEmpty(route string) {
+	o.count("retry-budget-empty")
+	event.RetriesStopped.Log(&o.logger).Str("route", route).Send()
+}
+
+// HeardRevision implements ingress.Observer.
+func (o *observer) HeardRevision(revision uint64, from member.ID) { o.heard(revision, from) }
+
+func (o *observer) memberChanged(m member.Member) {
+	e := event.MemberJoined
+	switch m.State {
+	case member.Suspect:
+		e = event.MemberSuspect
+	case member.Dead:
+		e = event.MemberDead
+	case member.Leaving:
+		e = event.MemberLeft
+	case member.Serving:
+	}
+	e.Log(&o.logger).Str("member", string(m.ID)).Stringer("state", m.State).Uint64("incarnation", m.Incarnation).Send()
+}
--- /dev/null
+++ b/ingress/reply.go
@@ -0,0 +1,180 @@
+package ingress
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"berylpass/attempt/id"
+	"berylpass/attempt/journey"
+	"berylpass/config/snapshot"
+	"berylpass/guard"
+	"berylpass/header"
+	"berylpass/hop/forwarder"
+)
+
+// Outcome tells a caller how its request ended.
+type Outcome string
+
+// The outcomes.
+const (
+	// Answered means that the body is the backend server's whole answer.
+	Answered Outcome = "answered"
+	// NotRun means that the request has not run and never will.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// The headers of every answer.
+const (
+	OutcomeHeader = "Berylpass-Outcome"
+	AttemptHeader = "Berylpass-Attempt"
+)
+
+// The reasons of refusals, besides those of guards and journeys.
+const (
+	// ReasonOverLimit tells that the organisation has used up its rate and burst.
+	ReasonOverLimit = "over-limit"
+	reasonNoLease   = "no-lease"
+	reasonNoBackend = "no-backend"
+	reasonBudget    = "retry-budget-empty"
+)
+
+// ended is how a request ended.
+type ended struct {
+	outcome    Outcome
+	reason     string
+	status     int
+	retryAfter time.Duration
+	attempt    id.ID
+	attempts   int
+	answer     forwarder.Answer
+}
+
+// ended maps the end of a journey to what the caller is told.
+func (x *exchange) ended(r journey.Reply) ended {
+	if r.Reason == journey.ReasonLost && x.expired {
+		r.Reason = journey.ReasonDeadline
+	}
+	end := ended{
+		outcome:    Outcome(r.Outcome),
+		reason:     r.Reason,
+		status:     statusOf(r),
+		retryAfter: r.RetryAfter,
+		attempt:    x.id,
+		attempts:   len(x.flights),
+	}
+	if r.Outcome == journey.AnsweredOutcome {
+		f := x.flights[r.Attempt.Attempt]
+		end.answer, end.attempt, end.status = f.answer, r.Attempt, f.answer.Status
+	}
+	return end
+}
+
+func statusOf(r journey.Reply) int {
+	switch {
+	case r.Outcome == journey.NotRunOutcome && r.Reason == ReasonOverLimit:
+		return http.StatusTooManyRequests
+	case r.Outcome == journey.NotRunOutcome && r.Reason == guard.ReasonKeyWithdrawn:
+		return http.StatusUnauthorized
+	case r.Outcome == journey.NotRunOutcome:
+		return http.StatusServiceUnavailable
+	case r.Reason == journey.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+func (e ended) refusal() refusal {
+	return refusal{
+		status: e.status, outcome: e.outcome, reason: e.reason,
+		attempt: e.attempt.String(), retryAfter: e.retryAfter,
+	}
+}
+
+// refusal is an answer of berylpass's own.
+type refusal struct {
+	status     int
+	outcome    Outcome
+	reason     string
+	attempt    string
+	retryAfter time.Duration
+}
+
+// refusalBody is the machine-readable body of a refusal.
+type refusalBody struct {
+	Outcome      Outcome `json:"outcome"`
+	Reason       string  `json:"reason"`
+	Attempt      string  `json:"attempt,omitempty"`
+	RetryAfterMS int64   `json:"retry-after-ms,omitempty"`
+}
+
+func refusalOf(err error) refusal {
+	f := refusal{status: http.StatusInternalServerError, outcome: NotRun, reason: "internal-error"}
+	for _, known := range []struct {
+		err    error
+		status int
+		reason string
+	}{
+		{snapshot.ErrNoRoute, http.StatusNotFound, "no-route"},
+		{snapshot.ErrMethod, http.StatusNotFound, "no-route-for-method"},
+		{errNoKey, http.StatusUnauthorized, "no-key"},
+		{errUnknownKey, http.StatusUnauthorized, "unknown-key"},
+		{errKeyInURL, http.StatusBadRequest, "key-in-target"},
+		{errTwoKeys, http.StatusBadRequest, "two-keys"},
+		{errBody, http.StatusBadRequest, "body-unreadable"},
+		{ErrNotReady, http.StatusServiceUnavailable, "not-ready"},
+	} {
+		if errors.Is(err, known.err) {
+			f.status, f.reason = known.status, known.reason
+		}
+	}
+	return f
+}
+
+func reply(w http.ResponseWriter, f refusal) {
+	h := w.Header()
+	h.Set(OutcomeHeader, string(f.outcome))
+	h.Set("Content-Type", "application/json")
+	if f.attempt != "" {
+		h.Set(AttemptHeader, f.attempt)
+	}
+	if f.retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.retryAfter.Seconds()))))
+	}
+	body, _ := json.Marshal(refusalBody{
+		Outcome:      f.outcome,
+		Reason:       f.reason,
+		Attempt:      f.attempt,
+		RetryAfterMS: f.retryAfter.Milliseconds(),
+	})
+	body = append(body, '\n')
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(f.status)
+	_, _ = w.Write(body)
+}
+
+func pass(w http.ResponseWriter, answer forwarder.Answer, attempt string) {
+	h := w.Header()
+	for name, values := range header.FromBackend(answer.Header) {
+		h[name] = values
+	}
+	h.Set(OutcomeHeader, string(Answered))
+	h.Set(AttemptHeader, attempt)
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+// Refuse returns headers and body of a refusal before a request reached the
+// ingress; it has the form that listener.WithRefusal wants.
+func Refuse(_ int, reason string) (http.Header, []byte) {
+	body, _ := json.Marshal(refusalBody{Outcome: NotRun, Reason: reason})
+	h := http.Header{}
+	h.Set(OutcomeHeader, string(NotRun))
+	h.Set("Content-Type", "application/json")
+	return h, append(body, '\n')
+}
--- /dev/null
+++ b/operate/burn/page/page_test.go
@@ -0,0 +1,86 @@
+package page
+
+import (
+	"bytes"
+	"flag"
+	"io"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"berylpass/operate/burn"
+	"berylpass/operate/burn/report"
+)
+
+var update = flag.Bool("update", false, "write golden files")
+
+func write(t *testing.T, s burn.Snapshot) string {
+	t.Helper()
+	var b bytes.Buffer
+	if err := Write(&b, report.New(s)); err != nil {
+		t.Fatal(err)
+	}
+	return b.String()
+}
+
+func TestPageOfAMorning(t *testing.T) {
+	f, err := os.Open("../testdata/morning.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	s, err := burn.Parse(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := write(t, s)
+	const file = "testdata/morning.html"
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s differs (-update writes it)", file)
+	}
+	if n := strings.Count(got, "<svg"); n != 3 {
+		t.Errorf("%d plots, want 3", n)
+	}
+}
+
+func TestPageLoadsNothingAndRunsNothing(t *testing.T) {
+	got := write(t, burn.Snapshot{
+		Routes: []burn.Route{{Name: `<script src="http://x.example/">`}},
+		Series: []burn.Series{{Route: `"><img src=x>`, Organisation: `<img src="http://x.example/">`, NotRun: 3}},
+	})
+	if found := regexp.MustCompile(`(?i)<(script|link|img|iframe|object|embed|image|use)\b|\b(src|href)\s*=\s*["']|@import|url\(`).FindString(got); found != "" {
+		t.Errorf("the page holds %q", found)
+	}
+}
+
+func FuzzWrite(f *testing.F) {
+	text, err := os.ReadFile("../testdata/morning.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Add([]byte(`{"taken":"2026-01-01T00:00:00Z","routes":[{"name":"a","timeline":[{"start":"0001-01-01T00:00:00Z","good":1},{"start":"9999-01-01T00:00:00Z","bad":1}]}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := burn.Parse(bytes.NewReader(text))
+		if err != nil {
+			return
+		}
+		r := report.New(burn.Merge(s, s))
+		if err := r.WriteText(io.Discard, 10); err != nil {
+			t.Error(err)
+		}
+		if err := Write(io.Discard, r); err != nil {
+			t.Error(err)
+		}
+	})
+}
