Await a share of each limit; the demo and load await all

Cause: TestWithdrawnKeySeenByOneDaemon waited for shares that daemons without the store can't claim, and failed by time-out each time. Change: Await asks for one share of each limit among the daemons, AwaitShares for more. Conclusion: the wait was wrong, not the daemon.

--- a/operate/demo/demo.go
+++ b/operate/demo/demo.go
@@ -29,6 +29,7 @@
 	"berylpass/config/snapshot"
 	"berylpass/daemon"
 	"berylpass/emulator"
+	"berylpass/limit/allotment"
 	"berylpass/operate/localfleet"
 )
 
@@ -130,6 +131,9 @@
 	if err := d.fleet.Await(ctx, d.snapshot.Revision); err != nil {
 		return fmt.Errorf("fleet did not get ready: %w", err)
 	}
+	if err := d.fleet.AwaitShares(ctx, allotment.Shares); err != nil {
+		return fmt.Errorf("limits did not get ready: %w", err)
+	}
 	d.readTargets()
 	d.say("3 daemons in 2 data centres and 6 backend servers are ready; %d organisations send requests", len(callers))
 	return nil
--- a/operate/localfleet/localfleet.go
+++ b/operate/localfleet/localfleet.go
@@ -203,9 +203,9 @@
 }
 
 // Await waits until all daemons are ready, have the revision in force, know all
-// backend servers, and hold the shares of all limits. Its error is that of ctx.
+// backend servers, and together hold a share of each limit. Its error is that of ctx.
 func (f *LocalFleet) Await(ctx context.Context, revision uint64) error {
-	if err := f.awaitShares(ctx); err != nil {
+	if err := f.AwaitShares(ctx, 1); err != nil {
 		return err
 	}
 	return f.AwaitThat(ctx, func(d *daemon.Daemon) bool {
@@ -253,14 +253,15 @@
 	f.platform.Close()
 }
 
-// awaitShares waits until the daemons together may lend from all shares of all limits.
-func (f *LocalFleet) awaitShares(ctx context.Context) error {
+// AwaitShares waits until the daemons together may lend from the given number of
+// shares of each limit, up to allotment.Shares.
+func (f *LocalFleet) AwaitShares(ctx context.Context, shares int) error {
 	return f.poll(ctx, func() bool {
 		held := 0
 		for _, d := range f.Daemons() {
 			held += d.Status().Shares
 		}
-		return held >= f.shards()*allotment.Shares
+		return held >= f.shards()*shares
 	})
 }
 
--- a/operate/process/load.go
+++ b/operate/process/load.go
@@ -15,6 +15,7 @@
 	"berylpass/config/service"
 	"berylpass/config/snapshot"
 	"berylpass/emulator"
+	"berylpass/limit/allotment"
 	"berylpass/operate/load"
 	"berylpass/operate/localfleet"
 )
@@ -115,7 +116,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
 	defer cancel()
-	return plan, f.Await(ctx, s.Revision)
+	if err := f.Await(ctx, s.Revision); err != nil {
+		return plan, err
+	}
+	return plan, f.AwaitShares(ctx, allotment.Shares)
 }
 
 // selfSnapshot gives each organisation twice its share of the rate.
