--- a/limit/lease/ask.go
+++ b/limit/lease/ask.go
@@ -84,7 +84,7 @@
 	if until := now.Add(term.Wait(left + term.Grant)); until.After(l.lentUntil) {
 		l.lentUntil = until
 	}
-	reply.Shares, reply.Term = l.kept(), left
+	reply.Shares, reply.Term = l.kept(now), left
 	for _, p := range l.peers {
 		p.loan = Loan{}
 	}
--- a/limit/lease/lease.go
+++ b/limit/lease/lease.go
@@ -103,7 +103,8 @@
 type donation struct {
 	shares []int
 	to     member.ID
-	ready  time.Time
+	// rests is when the shares cease to be used, ready when they may be given away.
+	rests, ready time.Time
 	// over is the version over which the donation was written, 0 before the write.
 	over uint64
 }
@@ -210,12 +211,13 @@
 	if now.Before(l.lentUntil) {
 		return nil
 	}
-	return l.kept()
+	return l.kept(now)
 }
 
-func (l *Lease) kept() []int {
+// kept returns the shares that the daemon owns and that do not rest for a donation.
+func (l *Lease) kept(now time.Time) []int {
 	return slices.DeleteFunc(l.record.SharesOf(l.self), func(share int) bool {
-		return l.donation.to != "" && slices.Contains(l.donation.shares, share)
+		return l.donation.to != "" && !now.Before(l.donation.rests) && slices.Contains(l.donation.shares, share)
 	})
 }
 
@@ -247,5 +249,6 @@
 
 // WantsLoan reports whether the daemon should ask its co-holders for their shares.
 func (l *Lease) WantsLoan(now time.Time) bool {
-	return l.Holds() && l.fenced && !now.Before(l.ready) && !now.Before(l.lentUntil) && !now.Before(l.stoppedUntil)
+	return l.Holds() && l.fenced && !now.Before(l.ready) && !now.Before(l.lentUntil) && !now.Before(l.stoppedUntil) &&
+		!l.exiting()
 }
--- a/limit/lease/write.go
+++ b/limit/lease/write.go
@@ -119,11 +119,12 @@
 	return b
 }
 
-// Give plans to make to the owner of the daemon's last n shares: they rest from now on
-// until what was granted or lent from them has ended, and are then given away in the
-// store. A daemon that gives all its shares away promises nothing any more, and rests until
-// its promises have ended: once it is no holder, its co-holders' shares move without its vote.
-// Give does nothing while another donation is planned.
+// Give plans to make to the owner of the daemon's last n shares. They rest until what was
+// granted or lent from them has ended, and are then given away in the store. A daemon that
+// gives all its shares away promises nothing and asks for no loans from now on, and waits
+// until its promises have ended, for once it is no holder its co-holders' shares move without
+// its vote; its shares rest only at the end of that time. Give does nothing while another
+// donation is planned.
 func (l *Lease) Give(now time.Time, n int, to member.ID) {
 	if !l.Holds() || l.donation.to != "" || to == l.self {
 		return
@@ -131,10 +132,11 @@
 	own := l.record.SharesOf(l.self)
 	shares := own[max(0, len(own)-n):]
 	rest := term.Wait(term.Loan + term.Grant)
+	rests := now
 	if len(shares) == len(own) {
-		rest = term.Wait(term.Lease + term.Grant)
+		rests = now.Add(term.Wait(term.Lease+term.Grant) - rest)
 	}
-	l.donation = donation{shares: shares, to: to, ready: now.Add(rest)}
+	l.donation = donation{shares: shares, to: to, rests: rests, ready: rests.Add(rest)}
 }
 
 // exiting reports whether the daemon gives all its shares away.
