Limits: try full buckets, a cut-off primary and a graceful leave

Change: offers pause so that buckets fill; TestCutOffPrimary cuts a primary off with a full burst; the bench has a graceful leave. Figures: with the wait removed TestCutOffPrimary fails, before nothing did.

--- a/limit/limiter/fleet_test.go
+++ b/limit/limiter/fleet_test.go
@@ -39,7 +39,7 @@
 	loss, double float64
 	delay        func() time.Duration
 	cut          map[[2]int]bool
-	dead         map[int]bool
+	states       map[int]member.State
 	storeCut     map[int]bool
 	lostAnswer   float64
 
@@ -132,9 +132,7 @@
 	var list []member.Member
 	for _, n := range f.nodes {
 		m := member.New(n.id, fmt.Sprintf("dc-%d", n.index%3))
-		if f.dead[n.index] {
-			m = m.WithState(member.Dead)
-		}
+		m = m.WithState(f.states[n.index])
 		list = append(list, m)
 	}
 	return list
--- a/limit/limiter/measure_test.go
+++ b/limit/limiter/measure_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"berylpass/fleet/member"
 	"berylpass/limit/limiter"
 )
 
@@ -28,6 +29,8 @@
 	span        = 300 * time.Second
 	// detection is the time after which the members know that a daemon is dead.
 	detection = 5 * time.Second
+	// drain is the time that a leaving daemon has.
+	drain = 25 * time.Second
 	// envelope is the size of a TLS record's header and tag, in bytes.
 	envelope = 22
 )
@@ -103,7 +106,7 @@
 // Run: go test ./limit/limiter -run '^$' -bench Refusals -benchtime 1x
 func BenchmarkRefusals(b *testing.B) {
 	for _, nodes := range []int{9, 30} {
-		for _, scenario := range []string{"even", "one", "moving", "five-times", "killed", "killed-store-away"} {
+		for _, scenario := range []string{"even", "one", "moving", "five-times", "left", "killed", "killed-store-away"} {
 			b.Run(fmt.Sprintf("%s/nodes=%d", scenario, nodes), func(b *testing.B) {
 				for range b.N {
 					measure(b, scenario, nodes)
@@ -113,9 +116,9 @@
 	}
 }
 
-// declareDead lets all nodes know that one is dead.
-func (f *fleet) declareDead(index int) {
-	f.dead = map[int]bool{index: true}
+// declare lets all nodes know the state of one.
+func (f *fleet) declare(index int, state member.State) {
+	f.states = map[int]member.State{index: state}
 	for _, n := range f.nodes {
 		if !n.down {
 			f.feed(n, limiter.Members{List: f.members()})
@@ -130,7 +133,7 @@
 	base := &split{f: f, levels: map[string][]float64{}, at: map[string][]time.Duration{}, refused: map[string]int{}}
 	where := func() *node {
 		for {
-			if n := f.nodes[f.rand.IntN(nodes)]; !n.down {
+			if n := f.nodes[f.rand.IntN(nodes)]; !n.down && f.states[n.index] == member.Serving {
 				return n
 			}
 		}
@@ -157,7 +160,12 @@
 	f.runFor(span / 3)
 	if scenario == "killed" || scenario == "killed-store-away" {
 		f.stop(f.nodes[0])
-		f.at(detection, func() { f.declareDead(0) })
+		f.at(detection, func() { f.declare(0, member.Dead) })
+	}
+	if scenario == "left" {
+		f.declare(0, member.Leaving)
+		f.feed(f.nodes[0], limiter.Leave{})
+		f.at(drain, func() { f.stop(f.nodes[0]) })
 	}
 	if scenario == "killed-store-away" {
 		for i := range nodes {
--- a/limit/limiter/oracle_test.go
+++ b/limit/limiter/oracle_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"berylpass/limit/allotment"
 	"berylpass/limit/limiter"
 )
 
@@ -52,7 +53,7 @@
 			f.stop(nd)
 			f.start(nd)
 		}
-		f.offerAll()
+		f.offerAll(true)
 		for range rapid.IntRange(5, 40).Draw(rt, "steps") {
 			fault(rt, f)
 			f.runFor(time.Duration(rapid.SampledFrom([]int{50, 500, 3000, 16000}).Draw(rt, "ms")) * time.Millisecond)
@@ -75,13 +76,15 @@
 	}
 }
 
-// offerAll keeps offering more than the limits allow, from changing daemons.
-func (f *fleet) offerAll() {
+// offerAll offers more than the limits allow, from changing daemons, and with pauses in which
+// the limits fill up, if wanted.
+func (f *fleet) offerAll(pauses bool) {
 	names := make([]string, 0, len(f.limits))
 	for name := range f.limits {
 		names = append(names, name)
 	}
 	sort.Strings(names)
+	quiet := map[string]time.Duration{}
 	focus := 0
 	var next func()
 	next = func() {
@@ -92,7 +95,13 @@
 		if f.rand.IntN(3) == 0 {
 			n = f.nodes[f.rand.IntN(len(f.nodes))]
 		}
-		f.offer(n, names[f.rand.IntN(len(names))])
+		name := names[f.rand.IntN(len(names))]
+		if pauses && f.rand.IntN(60) == 0 {
+			quiet[name] = f.now + time.Duration(f.rand.Float64()*float64(8*time.Second))
+		}
+		if f.now >= quiet[name] {
+			f.offer(n, name)
+		}
 		f.at(time.Duration(f.rand.ExpFloat64()*float64(8*time.Millisecond)), next)
 	}
 	next()
@@ -140,7 +149,7 @@
 	for _, n := range []int{1, 2, 3, 9} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			f := newFleet(7, n, oracleLimits)
-			f.offerAll()
+			f.offerAll(false)
 			f.runFor(30 * time.Second)
 			for name, l := range f.limits {
 				allowed := min(l.rate*30, float64(f.offered[name]))
@@ -151,3 +160,39 @@
 		})
 	}
 }
+
+// TestCutOffPrimary cuts off a daemon that has borrowed a whole limit from its co-holders, at a
+// moment at which the burst is full: their shares may come back only when its grant has ended.
+func TestCutOffPrimary(t *testing.T) {
+	const name = "thirty"
+	f := newFleet(3, 3, map[string]limit{name: oracleLimits[name]})
+	f.runFor(20 * time.Second)
+	var primary *node
+	for _, n := range f.nodes {
+		if n.id == f.records[allotment.Shard(name)].record.Owners[0] {
+			primary = n
+		}
+	}
+	for range 4 {
+		f.offer(primary, name)
+		f.runFor(300 * time.Millisecond)
+	}
+	for _, n := range f.nodes {
+		if n != primary {
+			f.cut[[2]int{n.index, primary.index}] = true
+			f.cut[[2]int{primary.index, n.index}] = true
+		}
+	}
+	for range 20 * 200 {
+		for _, n := range f.nodes {
+			f.offer(n, name)
+		}
+		f.runFor(5 * time.Millisecond)
+	}
+	if over := f.excess(name); over > 1e-6 {
+		t.Errorf("%.3f runs over the limit", over)
+	}
+	if got := len(f.runs[name]); got < 600 {
+		t.Errorf("%d runs in 20 s, want at least 600", got)
+	}
+}
