--- a/choice/evidence/evidence.go
+++ b/choice/evidence/evidence.go
@@ -51,8 +51,10 @@
 	// usualErrors and raisedErrors are the error shares between which the errors decide.
 	usualErrors  = 0.01
 	raisedErrors = 0.2
-	// MaxErrors and MaxSlowness bound the evidence in nats, so that it can fall again.
-	MaxErrors   = 13.5
+
+	// MaxErrors bounds the evidence of errors in nats, so that it can fall again.
+	MaxErrors = 13.5
+	// MaxSlowness bounds the evidence of slowness in nats, so that it can fall again.
 	MaxSlowness = 20
 )
 
