--- a/fleet/membership/membership_test.go
+++ b/fleet/membership/membership_test.go
@@ -25,7 +25,7 @@
 	news chan any
 }
 
-func start(t *testing.T, id member.ID, store *client.Client, seeds ...string) *daemon {
+func start(t testing.TB, id member.ID, store *client.Client, seeds ...string) *daemon {
 	t.Helper()
 	key, err := meshkey.New("secret-of-this-fleet")
 	if err != nil {
