--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -8,8 +8,13 @@
 	"berylpass/operate/event"
 )
 
-// drainLimitsTimeout bounds the handing over of allotments at a shutdown.
-const drainLimitsTimeout = 3 * time.Second
+const (
+	// drainLimitsTimeout bounds the handing over of allotments: leases rest for a
+	// while before shares may move.
+	drainLimitsTimeout = 15 * time.Second
+	// departTime is kept of the grace for telling the fleet that the daemon ends.
+	departTime = time.Second
+)
 
 // Shutdown takes no new work, finishes what is in flight, hands allotments over,
 // tells the fleet and ends the daemon. It cuts what is left when ctx ends first,
@@ -36,7 +41,11 @@
 // drainLimits hands allotments over. What is not handed over in time is lent by
 // others once this daemon's leases have lapsed.
 func (d *Daemon) drainLimits(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, drainLimitsTimeout)
+	limit := d.clock().Add(drainLimitsTimeout)
+	if end, ok := ctx.Deadline(); ok && end.Add(-departTime).Before(limit) {
+		limit = end.Add(-departTime)
+	}
+	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
 	return d.limits.Drain(ctx)
 }
--- a/operate/demo/scene.go
+++ b/operate/demo/scene.go
@@ -110,7 +110,7 @@
 	d.say("%s is shut down gracefully", leavingVM)
 	leaving := d.fleet.Daemons()[leavingVM].Addresses().Callers
 	d.dropTarget(leaving)
-	limited, cancel := context.WithTimeout(ctx, startLimit)
+	limited, cancel := context.WithTimeout(ctx, shutdownGrace)
 	defer cancel()
 	if err := d.fleet.StopDaemon(limited, leavingVM); err != nil {
 		d.broken = append(d.broken, fmt.Sprintf("graceful shutdown of %s: %v", leavingVM, err))
