--- a/limit/borrower/borrower.go
+++ b/limit/borrower/borrower.go
@@ -56,21 +56,6 @@
 	extendedAt   time.Time
 }
 
-// held is a grant in use.
-type held struct {
-	holder member.ID
-	id     uint64
-	bucket bucket.Bucket
-	ends   time.Time
-	lapse  time.Duration
-	// part is set if the holder may have tokens when this grant has none.
-	part bool
-	// closed is set once the grant is given back; its ID stays known until it would have ended.
-	closed bool
-	// drawn are the lapse times of the tokens drawn that may still run, in order.
-	drawn []time.Time
-}
-
 // New returns a borrower without grants.
 func New() *Borrower { return &Borrower{accounts: map[string]*account{}} }
 
@@ -128,18 +113,6 @@
 	a.held = slices.DeleteFunc(a.held, func(h held) bool { return !now.Before(h.ends) })
 }
 
-// advance refills the grant with the tokens that may still run counted in.
-func (h *held) advance(now time.Time) {
-	h.bucket.Refill(now, float64(len(h.drawn)))
-	n := 0
-	for n < len(h.drawn) && !now.Before(h.drawn[n]) {
-		n++
-	}
-	if n > 0 {
-		h.drawn = slices.Delete(h.drawn, 0, n)
-	}
-}
-
 // Next returns the time until a refilling grant has its next token, if the daemon holds one that
 // is all there is.
 func (b *Borrower) Next(now time.Time, organisation string) (time.Duration, bool) {
@@ -259,13 +232,6 @@
 	return a.held[i].close(now, organisation), true
 }
 
-// close ends the grant and returns what is left of it.
-func (h *held) close(now time.Time, organisation string) message.Returned {
-	h.advance(now)
-	h.closed = true
-	return message.Returned{Organisation: organisation, ID: h.id, Level: h.bucket.Level, Drawn: len(h.drawn)}
-}
-
 // Ending returns the grants that end within the margin and still have a token, and ends
 // them: what is left of them, by holder. Grants that refill are extended instead while in use.
 func (b *Borrower) Ending(now time.Time, margin time.Duration) map[member.ID][]message.Returned {
