--- a/choice/evidence/evidence.go
+++ b/choice/evidence/evidence.go
@@ -45,6 +45,9 @@
 	// risen and fallen are the evidence of slowness, in nats, from which service
 	// times count as changed and as back to what was usual.
 	risen, fallen = 8, 1
+	// maxUnfinished bounds the evidence, in nats, of the requests that run: at any
+	// time the long ones are over-represented among them.
+	maxUnfinished = 5
 	// maxSlownessStep bounds the evidence, in nats, of one service time.
 	maxSlownessStep = 3
 
@@ -153,13 +156,13 @@
 // Slowness returns the evidence, in nats from 0 to MaxSlowness, that service times rose
 // above what was usual for this backend server. Ages are those of its running requests by class.
 func (e *Evidence) Slowness(now time.Time, ages [class.Count][]time.Duration) float64 {
-	sum := e.slowness
+	unfinished := 0.0
 	for c := range ages {
 		for _, age := range ages[c] {
-			sum += max(e.step(now, class.Class(c), LogTime(age)), 0)
+			unfinished += max(e.step(now, class.Class(c), LogTime(age)), 0)
 		}
 	}
-	return min(sum, MaxSlowness)
+	return min(e.slowness+min(unfinished, maxUnfinished), MaxSlowness)
 }
 
 // Count returns the number of completed requests; it wraps around.
