Wire the queue's bound; drop the one per organisation

Cause: two settings of queue lengths changed nothing. Change: queue-per-backend bounds the gate's queue; queue-per-organisation is gone, since a full queue makes the organisation with most waiting give way (choice/fairqueue Victim). Conclusion: each setting has an effect.

--- a/choice/gate/gate.go
+++ b/choice/gate/gate.go
@@ -29,7 +29,8 @@
 
 // Gate is the decision core. It is not safe for concurrent use.
 type Gate struct {
-	lanes map[backend.ID]*lane
+	maxQueued int
+	lanes     map[backend.ID]*lane
 	// order lists the lanes by backend ID, for a deterministic run over the table.
 	order    []*lane
 	services map[string]service.Service
@@ -39,13 +40,24 @@
 
 var _ decision.System = (*Gate)(nil)
 
+// Option changes a gate that New makes.
+type Option func(*Gate)
+
+// WithMaxQueued bounds the requests that wait for one backend server.
+func WithMaxQueued(n int) Option { return func(g *Gate) { g.maxQueued = n } }
+
 // New returns a gate without backend servers.
-func New() *Gate {
-	return &Gate{
-		lanes:    make(map[backend.ID]*lane),
-		services: make(map[string]service.Service),
-		places:   make(map[id.ID]*lane),
+func New(options ...Option) *Gate {
+	g := &Gate{
+		maxQueued: DefaultMaxQueued,
+		lanes:     make(map[backend.ID]*lane),
+		services:  make(map[string]service.Service),
+		places:    make(map[id.ID]*lane),
+	}
+	for _, option := range options {
+		option(g)
 	}
+	return g
 }
 
 // Update applies one event of this package and ignores others.
@@ -92,7 +104,7 @@
 	s := g.service(e.Backend.Service)
 	l := g.lanes[e.Backend.ID]
 	if l == nil {
-		l = newLane(now, e.Backend, s)
+		l = newLane(now, e.Backend, s, g.maxQueued)
 		g.lanes[e.Backend.ID] = l
 		at, _ := slices.BinarySearchFunc(g.order, e.Backend.ID, func(o *lane, n backend.ID) int {
 			return strings.Compare(string(o.backend.ID), string(n))
--- a/choice/gate/lane.go
+++ b/choice/gate/lane.go
@@ -22,8 +22,8 @@
 	queueTime     = 2 * time.Second
 	standingTime  = 250 * time.Millisecond
 	standingAfter = time.Second
-	// maxQueued bounds the queue of a backend server.
-	maxQueued = 256
+	// DefaultMaxQueued bounds the queue of a backend server.
+	DefaultMaxQueued = 256
 	// unknownTime is the expected service time while none has been measured.
 	unknownTime = 50 * time.Millisecond
 	// meanSpan is the time constant of the mean service time.
@@ -44,9 +44,11 @@
 	inService bool
 	// reported is the number of slots in the last load report, zero if unknown.
 	reported int
-	limiter  *limiter.Limiter
-	queue    *fairqueue.Queue
-	evidence *evidence.Evidence
+	// maxQueued bounds the queue.
+	maxQueued int
+	limiter   *limiter.Limiter
+	queue     *fairqueue.Queue
+	evidence  *evidence.Evidence
 	// mean holds the service times in seconds.
 	mean [class.Count]window.Window
 	// running is in the order of the starts.
@@ -63,8 +65,8 @@
 	changedAt time.Time
 }
 
-func newLane(now time.Time, b backend.Backend, s service.Service) *lane {
-	l := &lane{backend: b, queue: fairqueue.New()}
+func newLane(now time.Time, b backend.Backend, s service.Service, maxQueued int) *lane {
+	l := &lane{backend: b, queue: fairqueue.New(), maxQueued: maxQueued}
 	l.restart(now, s)
 	return l
 }
--- a/config/settings/check.go
+++ b/config/settings/check.go
@@ -42,9 +42,6 @@
 	if (s.TLS.Certificate == "") != (s.TLS.Key == "") {
 		found = found.With(file, "tls", "", "one of certificate and key is given; allowed are both or none")
 	}
-	if s.Limits.QueuePerOrganisation > s.Limits.QueuePerBackend {
-		found = found.With(file, "limits", "queue-per-organisation", "the value is above queue-per-backend; allowed is at most that")
-	}
 	return append(found, checkAddresses(s, file)...)
 }
 
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -61,9 +61,8 @@
 type Limits struct {
 	MaxBody   int64
 	MaxHeader int64
-	// QueuePerBackend and QueuePerOrganisation are numbers of waiting requests.
-	QueuePerBackend      int
-	QueuePerOrganisation int
+	// QueuePerBackend is the number of requests that wait for one backend server.
+	QueuePerBackend int
 	// CallerConnections is the number of callers' connections open at once.
 	CallerConnections int
 }
--- a/config/settings/table.go
+++ b/config/settings/table.go
@@ -76,8 +76,6 @@
 			WithDefault("32KiB").WithMeaning("Largest header of a request or an answer."),
 		field.Integer("queue-per-backend", 1, 100000, func(s *Settings) *int { return &s.Limits.QueuePerBackend }).
 			WithDefault("64").WithMeaning("Requests that wait for one backend server."),
-		field.Integer("queue-per-organisation", 1, 100000, func(s *Settings) *int { return &s.Limits.QueuePerOrganisation }).
-			WithDefault("32").WithMeaning("Requests of one organisation that wait for one backend server."),
 		field.Integer("caller-connections", 1, 1000000, func(s *Settings) *int { return &s.Limits.CallerConnections }).
 			WithDefault("20000").WithMeaning("Callers' connections open at once; further ones are closed."),
 	}},
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -101,6 +101,7 @@
 		Limit:         d.limits,
 		Observer:      d.observer,
 		Clock:         d.clock,
+		MaxQueued:     d.settings.Limits.QueuePerBackend,
 	})
 	d.started(d.guard.Close)
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -71,6 +71,8 @@
 	Limit         Limit
 	Observer      Observer
 	Clock         func() time.Time
+	// MaxQueued bounds the requests that wait for one backend server; gate.DefaultMaxQueued if zero.
+	MaxQueued int
 }
 
 // Guard forwards requests to the backend servers beside it.
@@ -94,6 +96,9 @@
 	if parts.Clock == nil {
 		parts.Clock = time.Now
 	}
+	if parts.MaxQueued == 0 {
+		parts.MaxQueued = gate.DefaultMaxQueued
+	}
 	started := parts.Clock()
 	g := &Guard{
 		Parts:    parts,
@@ -101,7 +106,7 @@
 		started:  started,
 		done:     make(chan struct{}),
 		ledger:   ledger.New(started, self.Incarnation, ledger.DefaultCapacity),
-		gate:     gate.New(),
+		gate:     gate.New(gate.WithMaxQueued(parts.MaxQueued)),
 		backends: map[backend.ID]registered{},
 		passes:   map[id.ID]*pass{},
 	}
--- a/operate/localfleet/localfleet.go
+++ b/operate/localfleet/localfleet.go
@@ -290,7 +290,7 @@
 		Platform: settings.Platform{URL: "http://" + f.platform.Address(), Timeout: storeTimeout},
 		Owners:   map[string]ed25519.PublicKey{},
 		Limits: settings.Limits{
-			MaxBody: maxBody, MaxHeader: maxHeader, QueuePerBackend: 100, QueuePerOrganisation: 20,
+			MaxBody: maxBody, MaxHeader: maxHeader, QueuePerBackend: 100,
 			CallerConnections: connections,
 		},
 		Shutdown: settings.Shutdown{Grace: 10 * time.Second},
