--- a/daemon/revision_test.go
+++ b/daemon/revision_test.go
@@ -79,6 +79,7 @@
 
 // TestOneSignature holds that what the store shows counts only with the signatures of two owners.
 func TestOneSignature(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2)
 	store := w.Platform().Store()
 	store.SetWatchWait(pollInterval * 10)
@@ -103,6 +104,7 @@
 // TestStartWithPlatformAway holds that a daemon which starts while the platform is
 // away takes the configuration from its seeds and serves.
 func TestStartWithPlatformAway(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2)
 	w.change(withoutKey(w.snapshot, "hope-bay-library"))
 	w.Platform().Store().SetFaults(memory.Faults{Away: true})
--- a/daemon/shutdown_test.go
+++ b/daemon/shutdown_test.go
@@ -67,6 +67,7 @@
 
 // TestGracefulShutdownDuringUpload holds that an upload under way is answered.
 func TestGracefulShutdownDuringUpload(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2)
 	address := w.callers(1)
 	reader, writer := io.Pipe()
--- a/daemon/world_test.go
+++ b/daemon/world_test.go
@@ -99,13 +99,18 @@
 
 func vm(n int) string { return fmt.Sprintf("vm-%d", n) }
 
-// change publishes a snapshot as the next revision and waits until it is in force everywhere.
+// change publishes a snapshot as the next revision and waits until all daemons are
+// ready by it and know all backend servers. It doesn't wait for all shares of the limits.
 func (w *world) change(s snapshot.Snapshot) {
 	w.t.Helper()
 	w.publish(s)
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
-	if err := w.Await(ctx, w.snapshot.Revision); err != nil {
+	inForce := func(d *daemon.Daemon) bool {
+		s := d.Status()
+		return s.Ready == "ready" && s.Revision == w.snapshot.Revision && len(s.Backends) == len(w.backends)
+	}
+	if err := w.AwaitThat(ctx, inForce); err != nil {
 		w.t.Fatalf("revision %d is not in force: %v", w.snapshot.Revision, err)
 	}
 }
--- a/limit/limiter/measure_test.go
+++ b/limit/limiter/measure_test.go
@@ -7,6 +7,9 @@
 	"net/rpc"
 	"testing"
 	"time"
+
+	"berylpass/fleet/member"
+	"berylpass/limit/limiter"
 )
 
 // measured limits: many small organisations and a few large ones.
@@ -24,6 +27,10 @@
 	utilisation = 0.7
 	warmUp      = 40 * time.Second
 	span        = 300 * time.Second
+	// detection is the time after which the members know that a daemon is dead.
+	detection = 5 * time.Second
+	// drain is the time that a leaving daemon has.
+	drain = 25 * time.Second
 	// envelope is the size of a TLS record's header and tag, in bytes.
 	envelope = 22
 )
@@ -99,7 +106,7 @@
 // Run: go test ./limit/limiter -run '^$' -bench Refusals -benchtime 1x
 func BenchmarkRefusals(b *testing.B) {
 	for _, nodes := range []int{9, 30} {
-		for _, scenario := range []string{"even", "one", "moving", "five-times", "killed", "killed-store-away"} {
+		for _, scenario := range []string{"even", "one", "moving", "five-times", "left", "killed", "killed-store-away"} {
 			b.Run(fmt.Sprintf("%s/nodes=%d", scenario, nodes), func(b *testing.B) {
 				for range b.N {
 					measure(b, scenario, nodes)
@@ -109,6 +116,16 @@
 	}
 }
 
+// declare lets all nodes know the state of one.
+func (f *fleet) declare(index int, state member.State) {
+	f.states = map[int]member.State{index: state}
+	for _, n := range f.nodes {
+		if !n.down {
+			f.feed(n, limiter.Members{List: f.members()})
+		}
+	}
+}
+
 func measure(b *testing.B, scenario string, nodes int) {
 	const abusive = "organisation-07"
 	f := newFleet(11, nodes, measuredLimits())
@@ -116,7 +133,7 @@
 	base := &split{f: f, levels: map[string][]float64{}, at: map[string][]time.Duration{}, refused: map[string]int{}}
 	where := func() *node {
 		for {
-			if n := f.nodes[f.rand.IntN(nodes)]; !n.down {
+			if n := f.nodes[f.rand.IntN(nodes)]; !n.down && f.states[n.index] == member.Serving {
 				return n
 			}
 		}
@@ -143,6 +160,12 @@
 	f.runFor(span / 3)
 	if scenario == "killed" || scenario == "killed-store-away" {
 		f.stop(f.nodes[0])
+		f.at(detection, func() { f.declare(0, member.Dead) })
+	}
+	if scenario == "left" {
+		f.declare(0, member.Leaving)
+		f.feed(f.nodes[0], limiter.Leave{})
+		f.at(drain, func() { f.stop(f.nodes[0]) })
 	}
 	if scenario == "killed-store-away" {
 		for i := range nodes {
@@ -166,6 +189,12 @@
 		split += base.refused[name]
 		worst = max(worst, 100*float64(f.refused[name])/float64(max(1, f.offered[name])))
 	}
+	kinds := map[limit][2]int{}
+	for name, l := range f.limits {
+		k := kinds[l]
+		kinds[l] = [2]int{k[0] + f.refused[name], k[1] + f.offered[name]}
+	}
+	b.Log(scenario, kinds)
 	all := 0
 	for _, n := range f.offered {
 		all += n
