--- a/daemon/key_test.go
+++ b/daemon/key_test.go
@@ -85,6 +85,7 @@
 // TestWithdrawnKeySeenByOneDaemon holds that a change reaches daemons that can't
 // reach the platform through one that can.
 func TestWithdrawnKeySeenByOneDaemon(t *testing.T) {
+	t.Parallel()
 	nowhere := localfleet.WithPlatformURL("http://127.0.0.1:1")
 	w := startWorld(t)
 	w.add(1)
