--- a/choice/gate/measure.go
+++ b/choice/gate/measure.go
@@ -77,21 +77,23 @@
 
 // stalled returns how long the backend server has completed nothing while
 // requests were overdue or abandoned; zero if it is not stalled. The fewer may
-// run, the longer they must be overdue.
+// run, the longer they must be overdue. One of them must have started since the
+// last completion: long requests alone are no stall.
 func (l *lane) stalled(now time.Time) time.Duration {
 	needed := min(stalledRequests, l.limiter.Allowed(now))
 	patience := time.Duration(1) << (stalledRequests - needed)
-	overdue := 0
+	overdue, later := 0, false
 	if l.abandoned >= min(stalledRequests, l.limiter.Slots()) && now.Sub(l.lastCompleted) >= l.patience(now) {
-		overdue = l.abandoned
+		overdue, later = l.abandoned, true
 	}
 	for _, r := range l.running {
 		limit := patience * evidence.Overdue(l.evidence.Level(now, r.item.Class, nil))
 		if now.Sub(r.started) >= limit && now.Sub(l.lastCompleted) >= limit {
 			overdue++
+			later = later || !r.started.Before(l.lastCompleted)
 		}
 	}
-	if overdue < needed {
+	if overdue < needed || !later {
 		return 0
 	}
 	return now.Sub(l.lastCompleted)
