Ask guards for reports; await whole limits

Cause: the picker asks for a guard's report before it ejects (picker.Ask) and nothing answered, so path ejection and restores ran without the evidence they were measured with; AwaitShares counted shares that are not yet lent together. Change: Guard.Report over the mesh, chooser carries Ask out within picker.AskTimeout; a probe's call outlives the guard's own second, so that the report comes back; localfleet.AwaitLimits waits until all shares of each limit are lent from.

--- a/choice/chooser/chooser.go
+++ b/choice/chooser/chooser.go
@@ -34,8 +34,8 @@
 const (
 	// tickInterval is the pause between two runs of the picker's systems.
 	tickInterval = 100 * time.Millisecond
-	// probeTimeout bounds a probe.
-	probeTimeout = time.Second
+	// probeTimeout bounds a probe. The guard ends it within a second and sends its report then.
+	probeTimeout = 2 * time.Second
 )
 
 // Target is a backend server and the daemon beside it.
@@ -50,11 +50,17 @@
 	Restored(r picker.Restored)
 }
 
-// Prober asks a guard to send a safe request to its backend server.
+// Prober asks guards about their backend servers.
 type Prober interface {
+	// Probe has the guard send a safe request to its backend server.
 	Probe(ctx context.Context, target Target) (verdict.Verdict, *report.Report)
+	// Ask fetches the guard's report: verdict.Shed if it answered, else verdict.PathFailure.
+	Ask(ctx context.Context, target Target) (verdict.Verdict, *report.Report)
 }
 
+// question is Probe or Ask.
+type question func(ctx context.Context, target Target) (verdict.Verdict, *report.Report)
+
 // Options are what a Chooser is made of.
 type Options struct {
 	Self     member.Member
@@ -230,13 +236,15 @@
 		case picker.Restored:
 			c.options.Observer.Restored(a)
 		case picker.Probe:
-			c.probe(a.Backend)
+			c.put(a.Backend, c.options.Prober.Probe, probeTimeout)
+		case picker.Ask:
+			c.put(a.Backend, c.options.Prober.Ask, picker.AskTimeout)
 		}
 	}
 }
 
-// probe runs in a goroutine of its own and feeds what it saw back.
-func (c *Chooser) probe(of backend.ID) {
+// put asks in a goroutine of its own and feeds what it saw back.
+func (c *Chooser) put(of backend.ID, q question, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t, ok := c.targets[of]
@@ -244,10 +252,10 @@
 		return
 	}
 	c.wait.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
+		ctx, cancel := context.WithTimeout(c.ctx, timeout)
 		defer cancel()
 		start := c.options.Clock()
-		v, r := c.options.Prober.Probe(ctx, t)
+		v, r := q(ctx, t)
 		c.feed(picker.Observed{Backend: of, Took: c.options.Clock().Sub(start), Verdict: v, Report: r})
 	})
 }
--- a/daemon/limit_test.go
+++ b/daemon/limit_test.go
@@ -12,7 +12,6 @@
 	"berylpass/config/key"
 	"berylpass/config/organisation"
 	"berylpass/ingress"
-	"berylpass/limit/allotment"
 )
 
 const (
@@ -85,13 +84,12 @@
 	t.Logf("%d ran, %d refused", w.checkBucket(), refused)
 }
 
-// awaitShares waits until the daemons hold all shares. A holder that starts waits
-// six seconds before it lends, since an earlier process may have lent the same tokens.
-func (w *world) awaitShares() {
+// awaitLimits waits until all shares of the limits are lent from.
+func (w *world) awaitLimits() {
 	w.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
-	if err := w.AwaitShares(ctx, allotment.Shares); err != nil {
+	if err := w.AwaitLimits(ctx); err != nil {
 		w.t.Fatal(err)
 	}
 }
@@ -108,7 +106,7 @@
 // through one daemon, is not refused once the daemons hold all shares of its limit.
 func TestWithinRate(t *testing.T) {
 	w := newLimitedWorld(t)
-	w.awaitShares()
+	w.awaitLimits()
 	w.checkWithinRate()
 }
 
--- a/guard/receiver.go
+++ b/guard/receiver.go
@@ -77,6 +77,27 @@
 	return nil
 }
 
+// ReportArgs asks for what the guard measured at a backend server.
+type ReportArgs struct{ Backend backend.ID }
+
+// ReportReply holds a report.Report as text, empty if the guard doesn't know the backend server.
+type ReportReply struct{ Load []byte }
+
+// Report returns what the guard measured, without running a request.
+func (r *Receiver) Report(args ReportArgs, reply *ReportReply) error {
+	g := r.guard
+	now := g.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	load, ok := g.gate.Report(now, args.Backend)
+	if !ok {
+		return nil
+	}
+	text, err := load.MarshalText()
+	reply.Load = text
+	return err
+}
+
 // ProbeArgs asks for a probe of a backend server.
 type ProbeArgs struct {
 	Attempt id.ID
--- a/hop/control/control.go
+++ b/hop/control/control.go
@@ -123,9 +123,24 @@
 	if err := c.caller.Call(ctx, target.Guard.ID, guard.ServiceName+".Probe", args, &reply); err != nil {
 		return verdict.PathFailure, nil
 	}
+	return reply.Verdict, parseReport(reply.Load)
+}
+
+// Ask fetches what a guard measured at its backend server, without running a request.
+func (c *Control) Ask(ctx context.Context, target chooser.Target) (verdict.Verdict, *report.Report) {
+	args := guard.ReportArgs{Backend: target.Backend.ID}
+	var reply guard.ReportReply
+	if err := c.caller.Call(ctx, target.Guard.ID, guard.ServiceName+".Report", args, &reply); err != nil {
+		return verdict.PathFailure, nil
+	}
+	return verdict.Shed, parseReport(reply.Load)
+}
+
+// parseReport returns nil for text that is no report.
+func parseReport(text []byte) *report.Report {
 	var load report.Report
-	if err := load.UnmarshalText(reply.Load); err != nil {
-		return reply.Verdict, nil
+	if err := load.UnmarshalText(text); err != nil {
+		return nil
 	}
-	return reply.Verdict, &load
+	return &load
 }
--- a/limit/enforcer/enforcer.go
+++ b/limit/enforcer/enforcer.go
@@ -192,6 +192,13 @@
 	return e.core.Shares(e.options.Clock())
 }
 
+// Whole returns the number of shards of which the daemon may lend from all shares at present.
+func (e *Enforcer) Whole() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Whole(e.options.Clock())
+}
+
 // Drain hands shares and tokens over to other daemons. It returns when all are handed
 // over or ctx ends; its error is that of ctx.
 func (e *Enforcer) Drain(ctx context.Context) error {
--- a/limit/limiter/limiter.go
+++ b/limit/limiter/limiter.go
@@ -179,6 +179,17 @@
 	return l.leaving
 }
 
+// Whole returns the number of shards of which the daemon may grant from all shares.
+func (l *Limiter) Whole(now time.Time) int {
+	n := 0
+	for _, s := range l.seats {
+		if s != nil && len(s.lease.Usable(now)) == allotment.Shares {
+			n++
+		}
+	}
+	return n
+}
+
 // Shares returns the number of shares that the daemon may grant from, over all shards.
 func (l *Limiter) Shares(now time.Time) int {
 	n := 0
--- a/operate/demo/demo.go
+++ b/operate/demo/demo.go
@@ -29,7 +29,6 @@
 	"berylpass/config/snapshot"
 	"berylpass/daemon"
 	"berylpass/emulator"
-	"berylpass/limit/allotment"
 	"berylpass/operate/localfleet"
 )
 
@@ -133,7 +132,7 @@
 	if err := d.fleet.Await(ctx, d.snapshot.Revision); err != nil {
 		return fmt.Errorf("fleet did not get ready: %w", err)
 	}
-	if err := d.fleet.AwaitShares(ctx, allotment.Shares); err != nil {
+	if err := d.fleet.AwaitLimits(ctx); err != nil {
 		return fmt.Errorf("limits did not get ready: %w", err)
 	}
 	d.readTargets()
--- a/operate/localfleet/localfleet.go
+++ b/operate/localfleet/localfleet.go
@@ -205,7 +205,7 @@
 // Await waits until all daemons are ready, have the revision in force, know all
 // backend servers, and together hold a share of each limit. Its error is that of ctx.
 func (f *LocalFleet) Await(ctx context.Context, revision uint64) error {
-	if err := f.AwaitShares(ctx, 1); err != nil {
+	if err := f.awaitShares(ctx); err != nil {
 		return err
 	}
 	return f.AwaitThat(ctx, func(d *daemon.Daemon) bool {
@@ -253,15 +253,27 @@
 	f.platform.Close()
 }
 
-// AwaitShares waits until the daemons together may lend from the given number of
-// shares of each limit, up to allotment.Shares.
-func (f *LocalFleet) AwaitShares(ctx context.Context, shares int) error {
+// AwaitLimits waits until some daemon may lend from all shares of each limit. A
+// holder that starts waits six seconds before it lends, since an earlier process of
+// it may have lent the same tokens.
+func (f *LocalFleet) AwaitLimits(ctx context.Context) error {
+	return f.poll(ctx, func() bool {
+		whole := 0
+		for _, d := range f.Daemons() {
+			whole += d.Status().WholeLimits
+		}
+		return whole >= f.shards()
+	})
+}
+
+// awaitShares waits until the daemons together may lend from a share of each limit.
+func (f *LocalFleet) awaitShares(ctx context.Context) error {
 	return f.poll(ctx, func() bool {
 		held := 0
 		for _, d := range f.Daemons() {
 			held += d.Status().Shares
 		}
-		return held >= f.shards()*shares
+		return held >= f.shards()
 	})
 }
 
--- a/operate/process/load.go
+++ b/operate/process/load.go
@@ -15,7 +15,6 @@
 	"berylpass/config/service"
 	"berylpass/config/snapshot"
 	"berylpass/emulator"
-	"berylpass/limit/allotment"
 	"berylpass/operate/load"
 	"berylpass/operate/localfleet"
 )
@@ -119,7 +118,7 @@
 	if err := f.Await(ctx, s.Revision); err != nil {
 		return plan, err
 	}
-	return plan, f.AwaitShares(ctx, allotment.Shares)
+	return plan, f.AwaitLimits(ctx)
 }
 
 // selfSnapshot gives each organisation twice its share of the rate.
