End a daemon that a later process with its ID supersedes

Cause: membership tells of a later process with the same ID, and nothing acted on it: two processes would lend and run attempts under one name. Conclusion: wired.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,6 +65,7 @@
 
 	// parts are the closers of what has been started, the last one first.
 	parts   []func()
+	ended   chan struct{}
 	closing sync.Once
 
 	noticeMu sync.Mutex
@@ -75,7 +76,7 @@
 func New(s settings.Settings, logger zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, logger: logger, metrics: metrics.NewRegistry(), clock: time.Now,
-		noticeAt: map[backend.ID]time.Time{},
+		noticeAt: map[backend.ID]time.Time{}, ended: make(chan struct{}),
 	}
 	d.observer = &observer{
 		logger: logger, metrics: d.metrics,
@@ -108,5 +109,8 @@
 // Ready returns why the daemon takes no requests, or nil.
 func (d *Daemon) Ready(now time.Time) error { return d.configuration.Ready(now) }
 
+// Ended returns a channel that is closed once the daemon has ended.
+func (d *Daemon) Ended() <-chan struct{} { return d.ended }
+
 // started notes how a part that has been started is ended.
 func (d *Daemon) started(end func()) { d.parts = append([]func(){end}, d.parts...) }
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -58,5 +58,6 @@
 		for _, part := range d.parts {
 			part()
 		}
+		close(d.ended)
 	})
 }
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -127,7 +127,8 @@
 		membership.WithRandomSeed(d.self.Incarnation),
 		membership.WithOnMember(d.memberChanged),
 		membership.WithOnBackend(d.backendChanged),
-		membership.WithOnClock(d.clockHeard))
+		membership.WithOnClock(d.clockHeard),
+		membership.WithOnSuperseded(d.superseded))
 	d.started(d.members.Close)
 	d.follower = revision.New(signature.NewVerifier(d.settings.Owners), d.members, d.mesh, store,
 		revision.WithOnChange(d.configurationChanged),
@@ -243,6 +244,14 @@
 	d.limits.SetMembers(d.members.Members())
 }
 
+// superseded ends the daemon at once: another process with the same ID has started
+// later, and two of them may not run attempts or lend under one name.
+func (d *Daemon) superseded(incarnation uint64) {
+	event.Superseded.Log(&d.logger).Uint64("incarnation", incarnation).Send()
+	d.configuration.leaving.Store(true)
+	go d.Close()
+}
+
 func (d *Daemon) clockHeard(h roster.ClockHeard) {
 	d.control.Heard(h.From, h.Incarnation, int64(h.Milliseconds))
 }
--- a/operate/event/catalogue.go
+++ b/operate/event/catalogue.go
@@ -16,6 +16,7 @@
 	ShutdownRequested = info(1101, "shutdown-requested", "A signal asked for a graceful shutdown: no new work is taken, work in flight is finished.")
 	ShutdownDone      = info(1102, "shutdown-done", "All work in flight is finished and the daemon ends.")
 	ForcedEnd         = warn(1103, "forced-end", "A second signal, or the end of the grace period, ended the daemon with work in flight.")
+	Superseded        = failure(1104, "superseded", "Another process with the same id has started later: this one ends at once. Give each daemon an id of its own.")
 	Failed            = failure(1201, "failed", "The daemon can't go on and ends with an error.")
 	CertificateLoaded = info(1301, "certificate-loaded", "The certificate of the callers' port was read, at the start or after its file changed.")
 	CertificateFailed = warn(1302, "certificate-failed", "A changed certificate could not be read: the one in use stays. Mend the files.")
--- a/operate/process/serve.go
+++ b/operate/process/serve.go
@@ -16,6 +16,9 @@
 // errEnded reports a daemon that a second signal ended with work in flight.
 var errEnded = errors.New("ended by a second signal")
 
+// errSuperseded reports a daemon that ended since a later one has its ID.
+var errSuperseded = errors.New("another process with the same daemon id has started later")
+
 // serve runs a daemon.
 type serve struct {
 	world
@@ -42,8 +45,12 @@
 		event.Failed.Log(&logger).Err(err).Send()
 		return err
 	}
-	<-ending
-	return shutDown(d, s, ending)
+	select {
+	case <-ending:
+		return shutDown(d, s, ending)
+	case <-d.Ended():
+		return errSuperseded
+	}
 }
 
 // shutDown ends a daemon within the grace period, or at once at a second signal.
