--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -43,6 +43,9 @@
 	CutAnswers bool
 }
 
+// tailFactor is how many times as long a request of the tail takes.
+const tailFactor = 3
+
 // Emulator is a running backend server.
 type Emulator struct {
 	listener    net.Listener
@@ -52,6 +55,7 @@
 	cold        time.Duration
 	clock       func() time.Time
 	answerSize  int
+	tailShare   float64
 
 	inUse    atomic.Int64
 	peak     atomic.Int64
@@ -86,6 +90,9 @@
 // WithColdStart sets the time after a start in which one request at once is all it bears.
 func WithColdStart(d time.Duration) Option { return func(e *Emulator) { e.cold = d } }
 
+// WithTailShare sets the share of requests, 0 to 1, that take three times as long; a hundredth by default.
+func WithTailShare(share float64) Option { return func(e *Emulator) { e.tailShare = share } }
+
 // WithSecrets names callers' keys that must never arrive here; KeysSeen counts those that do.
 func WithSecrets(secrets ...string) Option { return func(e *Emulator) { e.secrets = secrets } }
 
@@ -97,6 +104,7 @@
 	e := &Emulator{
 		slots:       4,
 		serviceTime: 10 * time.Millisecond,
+		tailShare:   0.01,
 		clock:       time.Now,
 		random:      rand.New(rand.NewPCG(1, 2)),
 		runs:        map[string]int{},
@@ -252,13 +260,13 @@
 	e.journal = append(e.journal, Run{At: e.clock(), Request: id})
 }
 
-// plan draws the service time: a uniform body with a slow hundredth, five times as slow when cold and overrun.
+// plan draws the service time: a uniform body with a slow tail, five times as slow when cold and overrun.
 func (e *Emulator) plan(inUse int64) (Fault, time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	spread := 0.75 + 0.5*e.random.Float64()
-	if e.random.IntN(100) == 0 {
-		spread *= 3
+	if e.random.Float64() < e.tailShare {
+		spread *= tailFactor
 	}
 	took := time.Duration(float64(e.serviceTime) * spread)
 	if e.clock().Sub(e.started) < e.cold && inUse > 1 {
--- a/operate/load/load.go
+++ b/operate/load/load.go
@@ -21,10 +21,12 @@
 
 // Load is one run of a plan.
 type Load struct {
-	plan        Plan
-	client      *http.Client
-	fleet       *series
-	direct      *series
+	plan   Plan
+	client *http.Client
+	fleet  *series
+	direct *series
+	// ignored collects what comes back of the warm-up.
+	ignored     *series
 	outstanding atomic.Int64
 	sequence    atomic.Uint64
 	wait        sync.WaitGroup
@@ -41,8 +43,9 @@
 				DisableCompression:  true,
 			},
 		},
-		fleet:  newSeries(),
-		direct: newSeries(),
+		fleet:   newSeries(),
+		direct:  newSeries(),
+		ignored: newSeries(),
 	}
 }
 
@@ -54,27 +57,31 @@
 	for {
 		gap := -math.Log(1-random.Float64()) / l.plan.Rate
 		due = due.Add(time.Duration(gap * float64(time.Second)))
-		if due.Sub(start) > l.plan.Duration {
+		if due.Sub(start) > l.plan.WarmUp+l.plan.Duration {
 			break
 		}
 		if err := sleepUntil(ctx, due); err != nil {
 			break
 		}
-		l.send(ctx, random, due)
+		l.send(ctx, random, due, due.Sub(start) >= l.plan.WarmUp)
 	}
 	l.wait.Wait()
 	l.client.CloseIdleConnections()
-	return newResult(l.plan, time.Since(start), l.fleet, l.direct), ctx.Err()
+	return newResult(l.plan, time.Since(start)-l.plan.WarmUp, l.fleet, l.direct), ctx.Err()
 }
 
-func (l *Load) send(ctx context.Context, random *rand.Rand, due time.Time) {
+func (l *Load) send(ctx context.Context, random *rand.Rand, due time.Time, counted bool) {
 	n := l.sequence.Add(1)
 	o := l.plan.Organisations[pick(random, organisationWeights(l.plan))]
 	r := l.plan.Routes[pick(random, routeWeights(l.plan))]
 	target := l.plan.Targets[int(n)%len(l.plan.Targets)]
-	l.start(ctx, l.fleet, target, o, r, n, due)
+	fleet, direct := l.fleet, l.direct
+	if !counted {
+		fleet, direct = l.ignored, l.ignored
+	}
+	l.start(ctx, fleet, target, o, r, n, due)
 	if len(l.plan.Direct) > 0 {
-		l.start(ctx, l.direct, l.plan.Direct[int(n)%len(l.plan.Direct)], Organisation{Name: o.Name}, r, n, due)
+		l.start(ctx, direct, l.plan.Direct[int(n)%len(l.plan.Direct)], Organisation{Name: o.Name}, r, n, due)
 	}
 }
 
--- a/operate/load/plan.go
+++ b/operate/load/plan.go
@@ -47,7 +47,9 @@
 	// Rate is in requests per second.
 	Rate     float64
 	Duration time.Duration
-	Timeout  time.Duration
+	// WarmUp is how long requests are sent before they are counted.
+	WarmUp  time.Duration
+	Timeout time.Duration
 	// Outstanding bounds the requests that wait for an answer; beyond it an
 	// arrival is counted as not sent.
 	Outstanding int
@@ -125,6 +127,7 @@
 		Direct:      p.urls(s, "direct"),
 		Rate:        s.Key("rate").MustFloat64(defaultRate),
 		Duration:    s.Key("duration").MustDuration(defaultDuration),
+		WarmUp:      s.Key("warm-up").MustDuration(0),
 		Timeout:     s.Key("timeout").MustDuration(defaultTimeout),
 		Outstanding: s.Key("outstanding").MustInt(defaultOutstanding),
 		Skew:        s.Key("skew").MustFloat64(0),
@@ -136,6 +139,9 @@
 	if plan.Duration <= 0 || plan.Duration > MaxDuration {
 		p.mistake("load", "duration", fmt.Sprintf("allowed is more than 0 up to %s", MaxDuration))
 	}
+	if plan.WarmUp < 0 || plan.WarmUp > MaxDuration {
+		p.mistake("load", "warm-up", fmt.Sprintf("allowed is 0 up to %s", MaxDuration))
+	}
 	if len(plan.Targets) == 0 {
 		p.mistake("load", "targets", "want base URLs, parted by commas")
 	}
--- a/operate/process/load.go
+++ b/operate/process/load.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime/pprof"
 	"strings"
 	"time"
 
@@ -29,11 +30,13 @@
 	Self          bool          `long:"self" description:"start a fleet in this process and measure it beside direct calls"`
 	Rate          float64       `long:"rate" default:"125" description:"with --self: requests a second"`
 	Duration      time.Duration `long:"duration" default:"10s" description:"with --self: length of the run"`
+	WarmUp        time.Duration `long:"warm-up" default:"3s" description:"with --self: time before requests are counted"`
 	Daemons       int           `long:"daemons" default:"2" description:"with --self: number of daemons"`
 	Backends      int           `long:"backends" default:"8" description:"with --self: number of backend servers"`
 	Slots         int           `long:"slots" default:"64" description:"with --self: requests at once on a backend server"`
 	ServiceTime   time.Duration `long:"service-time" default:"5ms" description:"with --self: median time that a request takes"`
 	Organisations int           `long:"organisations" default:"8" description:"with --self: number of organisations"`
+	Profile       string        `long:"cpu-profile" value-name:"FILE" description:"with --self: write a processor profile of the whole process"`
 	Body          int           `long:"body" default:"0" description:"with --self: bytes of each request's body"`
 	Arguments     struct {
 		File string `positional-arg-name:"FILE" description:"load plan, in INI"`
@@ -80,6 +83,18 @@
 	if err != nil {
 		return err
 	}
+	if c.Profile == "" {
+		return c.measure(ctx, plan)
+	}
+	file, err := os.Create(c.Profile)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return err
+	}
+	defer pprof.StopCPUProfile()
 	return c.measure(ctx, plan)
 }
 
@@ -88,7 +103,7 @@
 // fleet's, so that the two loads do not share slots.
 func (c *runLoad) startSelf(ctx context.Context, f *localfleet.LocalFleet) (load.Plan, error) {
 	plan := load.Plan{
-		Rate: c.Rate, Duration: c.Duration, Timeout: 10 * time.Second, Outstanding: 8192, Seed: 1,
+		Rate: c.Rate, Duration: c.Duration, WarmUp: c.WarmUp, Timeout: 10 * time.Second, Outstanding: 8192, Seed: 1,
 		Routes: []load.Route{{Name: "lookups", Method: "GET", Path: "/fields", Weight: 1, Body: c.Body}},
 	}
 	for n := range c.Daemons {
@@ -98,7 +113,7 @@
 		}
 		plan.Targets = append(plan.Targets, "http://"+d.Addresses().Callers)
 	}
-	options := []emulator.Option{emulator.WithSlots(c.Slots), emulator.WithServiceTime(c.ServiceTime)}
+	options := []emulator.Option{emulator.WithSlots(c.Slots), emulator.WithServiceTime(c.ServiceTime), emulator.WithTailShare(0)}
 	for n := range c.Backends {
 		if _, err := f.StartBackend(fmt.Sprintf("vm-%d", n%c.Daemons+1), fmt.Sprintf("rounds-%d", n+1), "rounds", options...); err != nil {
 			return plan, err
