Name the request's state machine and a shard's holder by standard terms

Cause: journey, seat and heir are pictures, where the field has terms. Change: attempt/lifecycle, limiter's holding and successor; no behaviour. Measured: attempt, ingress, hop and limit tests pass with the race detector. Conclusion: names read without a key.

--- a/attempt/journey/golden_test.go
+++ b/attempt/lifecycle/golden_test.go
@@ -1,4 +1,4 @@
-package journey
+package lifecycle
 
 import (
 	"flag"
@@ -79,8 +79,8 @@
 	},
 }
 
-// TestSessions compares whole journeys with their golden files. Write them anew
-// with go test ./attempt/journey -run Sessions -update.
+// TestSessions compares whole lifecycles with their golden files. Write them anew
+// with go test ./attempt/lifecycle -run Sessions -update.
 func TestSessions(t *testing.T) {
 	for name, session := range sessions {
 		t.Run(name, func(t *testing.T) {
@@ -123,5 +123,5 @@
 	case SetTimer:
 		return fmt.Sprintf("SetTimer %d at %v", m.Timer, m.At.Sub(epoch))
 	}
-	return strings.TrimPrefix(fmt.Sprintf("%T%+v", message, message), "journey.")
+	return strings.TrimPrefix(fmt.Sprintf("%T%+v", message, message), "lifecycle.")
 }
--- a/attempt/journey/journey.go
+++ b/attempt/lifecycle/lifecycle.go
@@ -1,4 +1,4 @@
-// Package journey leads one request through its attempts, from the caller's
+// Package lifecycle leads one request through its attempts, from the caller's
 // arrival to the reply.
 //
 // A request that may not be repeated has one attempt at a time, and gets another
@@ -9,15 +9,15 @@
 //
 // # Usage
 //
-//	j := journey.New(id.New(ingress, incarnation, request))
-//	for _, action := range j.Update(now, journey.Begin{Deadline: d, MaxAttempts: 3}) {
+//	l := lifecycle.New(id.New(ingress, incarnation, request))
+//	for _, action := range l.Update(now, lifecycle.Begin{Deadline: d, MaxAttempts: 3}) {
 //		// carry out DrawToken, ReturnToken, Pick, Dispatch, Cancel, SetTimer, Reply
 //	}
 //
 // DrawToken, Pick and Cancel are each answered by one event, Dispatch by one of
 // Answered, NotRun, DialFailed and Lost. Events that come after the Reply must
 // still be fed in: what turns out not to have run gives its token back.
-package journey
+package lifecycle
 
 import (
 	"net/http"
@@ -68,8 +68,8 @@
 	asked    int
 }
 
-// Journey is the state of one request. It is not safe for concurrent use.
-type Journey struct {
+// Lifecycle is the state of one request. It is not safe for concurrent use.
+type Lifecycle struct {
 	first    id.ID
 	begin    Begin
 	attempts []attempt
@@ -85,128 +85,128 @@
 	actions []decision.Action
 }
 
-var _ decision.System = (*Journey)(nil)
+var _ decision.System = (*Lifecycle)(nil)
 
-// New returns the journey of the request whose first attempt has the ID.
-func New(first id.ID) *Journey { return &Journey{first: first} }
+// New returns the lifecycle of the request whose first attempt has the ID.
+func New(first id.ID) *Lifecycle { return &Lifecycle{first: first} }
 
 // Update applies an event.
-func (j *Journey) Update(now time.Time, event decision.Event) []decision.Action {
-	j.actions = nil
+func (l *Lifecycle) Update(now time.Time, event decision.Event) []decision.Action {
+	l.actions = nil
 	switch e := event.(type) {
 	case Begin:
-		j.start(e)
+		l.start(e)
 	case TokenDrawn:
-		j.tokenDrawn()
+		l.tokenDrawn()
 	case TokenRefused:
-		j.tokenRefused(e)
+		l.tokenRefused(e)
 	case Picked:
-		j.dispatch(now, e)
+		l.dispatch(now, e)
 	case NoneAvailable:
-		j.notPrepared(e.Reason, e.RetryAfter)
+		l.notPrepared(e.Reason, e.RetryAfter)
 	case Answered:
-		j.answered(now, e)
+		l.answered(now, e)
 	case NotRun:
-		j.note(e.Reason, e.RetryAfter)
-		j.notRun(now, e.Attempt, !e.Everywhere)
+		l.note(e.Reason, e.RetryAfter)
+		l.notRun(now, e.Attempt, !e.Everywhere)
 	case DialFailed:
-		j.note(ReasonDial, 0)
-		j.notRun(now, e.Attempt, true)
+		l.note(ReasonDial, 0)
+		l.notRun(now, e.Attempt, true)
 	case Lost:
-		j.lost(now, e.Attempt)
+		l.lost(now, e.Attempt)
 	case CancelResult:
-		j.cancelResult(now, e)
+		l.cancelResult(now, e)
 	case TimerFired:
-		j.timerFired(now, e.Timer)
+		l.timerFired(now, e.Timer)
 	case CallerLeft:
-		j.callerLeft()
+		l.callerLeft()
 	}
-	return j.actions
+	return l.actions
 }
 
-func (j *Journey) emit(a decision.Action) { j.actions = append(j.actions, a) }
+func (l *Lifecycle) emit(a decision.Action) { l.actions = append(l.actions, a) }
 
-func (j *Journey) start(e Begin) {
-	j.begin = e
-	j.emit(SetTimer{Timer: Deadline, At: e.Deadline})
-	j.prepare(First)
+func (l *Lifecycle) start(e Begin) {
+	l.begin = e
+	l.emit(SetTimer{Timer: Deadline, At: e.Deadline})
+	l.prepare(First)
 }
 
 // prepare begins another attempt: with a token that is left over, or with a new one.
-func (j *Journey) prepare(purpose Purpose) {
-	j.preparing = true
-	if j.held > 0 {
-		j.pick()
+func (l *Lifecycle) prepare(purpose Purpose) {
+	l.preparing = true
+	if l.held > 0 {
+		l.pick()
 		return
 	}
-	j.emit(DrawToken{Purpose: purpose})
+	l.emit(DrawToken{Purpose: purpose})
 }
 
-func (j *Journey) pick() {
-	exclude := make([]backend.ID, 0, len(j.attempts))
-	for _, a := range j.attempts {
+func (l *Lifecycle) pick() {
+	exclude := make([]backend.ID, 0, len(l.attempts))
+	for _, a := range l.attempts {
 		exclude = append(exclude, a.backend)
 	}
-	j.emit(Pick{Exclude: exclude})
+	l.emit(Pick{Exclude: exclude})
 }
 
-func (j *Journey) tokenDrawn() {
-	if !j.preparing {
-		j.emit(ReturnToken{Count: 1})
+func (l *Lifecycle) tokenDrawn() {
+	if !l.preparing {
+		l.emit(ReturnToken{Count: 1})
 		return
 	}
-	j.held++
-	j.pick()
+	l.held++
+	l.pick()
 }
 
 // tokenRefused falls back on a token that has become free in the meantime.
-func (j *Journey) tokenRefused(e TokenRefused) {
-	if j.preparing && j.held > 0 && j.count(inFlight) == 0 {
-		j.pick()
+func (l *Lifecycle) tokenRefused(e TokenRefused) {
+	if l.preparing && l.held > 0 && l.count(inFlight) == 0 {
+		l.pick()
 		return
 	}
-	j.notPrepared(e.Reason, e.RetryAfter)
+	l.notPrepared(e.Reason, e.RetryAfter)
 }
 
 // notPrepared gives up the attempt in preparation.
-func (j *Journey) notPrepared(reason string, after time.Duration) {
-	if !j.preparing {
+func (l *Lifecycle) notPrepared(reason string, after time.Duration) {
+	if !l.preparing {
 		return
 	}
-	j.preparing = false
-	if len(j.attempts) == 0 || j.allNeverRun() {
-		j.note(reason, after)
+	l.preparing = false
+	if len(l.attempts) == 0 || l.allNeverRun() {
+		l.note(reason, after)
 	}
-	j.settle()
+	l.settle()
 }
 
-func (j *Journey) dispatch(now time.Time, e Picked) {
-	if !j.preparing {
+func (l *Lifecycle) dispatch(now time.Time, e Picked) {
+	if !l.preparing {
 		return
 	}
-	j.preparing = false
-	j.held--
-	a := attempt{id: j.first.WithAttempt(uint8(len(j.attempts))), backend: e.Backend, guard: e.Guard}
-	j.attempts = append(j.attempts, a)
-	j.emit(Dispatch{ID: a.id, Backend: e.Backend, Guard: e.Guard})
-	if j.begin.Repeatable && j.begin.Hedge > 0 {
-		j.emit(SetTimer{Timer: Hedge, At: now.Add(j.begin.Hedge)})
+	l.preparing = false
+	l.held--
+	a := attempt{id: l.first.WithAttempt(uint8(len(l.attempts))), backend: e.Backend, guard: e.Guard}
+	l.attempts = append(l.attempts, a)
+	l.emit(Dispatch{ID: a.id, Backend: e.Backend, Guard: e.Guard})
+	if l.begin.Repeatable && l.begin.Hedge > 0 {
+		l.emit(SetTimer{Timer: Hedge, At: now.Add(l.begin.Hedge)})
 	}
 }
 
 // mayPrepare reports whether another attempt is allowed now.
-func (j *Journey) mayPrepare(now time.Time) bool {
-	if j.ended || j.closing || j.preparing || len(j.attempts) >= int(j.begin.MaxAttempts) || !now.Before(j.begin.Deadline) {
+func (l *Lifecycle) mayPrepare(now time.Time) bool {
+	if l.ended || l.closing || l.preparing || len(l.attempts) >= int(l.begin.MaxAttempts) || !now.Before(l.begin.Deadline) {
 		return false
 	}
-	return j.begin.Repeatable || j.allNeverRun()
+	return l.begin.Repeatable || l.allNeverRun()
 }
 
-func (j *Journey) allNeverRun() bool { return j.count(neverRuns) == len(j.attempts) }
+func (l *Lifecycle) allNeverRun() bool { return l.count(neverRuns) == len(l.attempts) }
 
-func (j *Journey) count(p progress) int {
+func (l *Lifecycle) count(p progress) int {
 	n := 0
-	for _, a := range j.attempts {
+	for _, a := range l.attempts {
 		if a.progress == p {
 			n++
 		}
@@ -215,7 +215,7 @@
 }
 
 // note keeps why there is no answer.
-func (j *Journey) note(reason string, after time.Duration) { j.reason, j.after = reason, after }
+func (l *Lifecycle) note(reason string, after time.Duration) { l.reason, l.after = reason, after }
 
 // badGateway reports whether a status says that the backend server failed at a request.
 func badGateway(status int) bool {
--- a/attempt/journey/messages.go
+++ b/attempt/lifecycle/messages.go
@@ -1,4 +1,4 @@
-package journey
+package lifecycle
 
 import (
 	"time"
@@ -8,7 +8,7 @@
 	"berylpass/fleet/member"
 )
 
-// Begin starts the journey.
+// Begin starts the lifecycle.
 type Begin struct {
 	// Repeatable tells that the request may run more than once.
 	Repeatable bool
@@ -89,7 +89,7 @@
 // CallerLeft tells that nobody waits for the answer any more.
 type CallerLeft struct{}
 
-// Timer names a timer of a journey.
+// Timer names a timer of a lifecycle.
 type Timer uint8
 
 // The timers.
--- a/attempt/journey/oracle_test.go
+++ b/attempt/lifecycle/oracle_test.go
@@ -1,4 +1,4 @@
-package journey
+package lifecycle
 
 import (
 	"flag"
@@ -160,7 +160,7 @@
 		w.respond(a, Lost{a.n})
 	case 8: // the answer of another attempt
 		other := w.requests[w.below(len(w.requests), "crossed")]
-		w.respond(a, Answered{Attempt: a.n, ID: other.journey.first.WithAttempt(a.n), Status: 200})
+		w.respond(a, Answered{Attempt: a.n, ID: other.lifecycle.first.WithAttempt(a.n), Status: 200})
 	case 7:
 		w.respond(a, Answered{Attempt: a.n, ID: attempt, Status: 503})
 	default:
@@ -182,31 +182,31 @@
 // checkRun holds that non-repeatable work runs once, and nothing after "not run".
 func (w *world) checkRun(a *sentAttempt) {
 	if !a.request.repeatable && a.request.runs > 1 {
-		w.t.Fatalf("request %v ran %d times", a.request.journey.first, a.request.runs)
+		w.t.Fatalf("request %v ran %d times", a.request.lifecycle.first, a.request.runs)
 	}
 	if a.runs > 1 {
-		w.t.Fatalf("attempt %d of %v ran %d times", a.n, a.request.journey.first, a.runs)
+		w.t.Fatalf("attempt %d of %v ran %d times", a.n, a.request.lifecycle.first, a.runs)
 	}
 	if a.request.reply != nil && a.request.reply.Outcome == NotRunOutcome {
-		w.t.Fatalf("request %v ran after the caller was told not-run", a.request.journey.first)
+		w.t.Fatalf("request %v ran after the caller was told not-run", a.request.lifecycle.first)
 	}
 }
 
 // checkReply holds that what the caller is told is true, and unknown only if it is.
 func (w *world) checkReply(r *request, reply Reply) {
 	if r.reply != nil || r.left {
-		w.t.Fatalf("request %v got a second reply", r.journey.first)
+		w.t.Fatalf("request %v got a second reply", r.lifecycle.first)
 	}
 	r.reply = &reply
 	switch reply.Outcome {
 	case NotRunOutcome:
 		if r.runs > 0 {
-			w.t.Fatalf("request %v: not-run after %d runs", r.journey.first, r.runs)
+			w.t.Fatalf("request %v: not-run after %d runs", r.lifecycle.first, r.runs)
 		}
 	case AnsweredOutcome:
 		a := w.sent[reply.Attempt]
 		if a == nil || a.request != r || a.runs != 1 || a.carried != reply.Attempt {
-			w.t.Fatalf("request %v was answered by %v", r.journey.first, reply.Attempt)
+			w.t.Fatalf("request %v was answered by %v", r.lifecycle.first, reply.Attempt)
 		}
 	case UnknownOutcome:
 		for _, a := range r.attempts {
@@ -214,7 +214,7 @@
 				return
 			}
 		}
-		w.t.Fatalf("request %v: unknown, but the guards could tell", r.journey.first)
+		w.t.Fatalf("request %v: unknown, but the guards could tell", r.lifecycle.first)
 	}
 }
 
@@ -236,19 +236,19 @@
 	}
 	for _, r := range w.requests {
 		if r.reply == nil && !r.left {
-			w.t.Fatalf("request %v got no reply", r.journey.first)
+			w.t.Fatalf("request %v got no reply", r.lifecycle.first)
 		}
 		if r.tokens != 0 {
-			w.t.Fatalf("request %v keeps %d tokens", r.journey.first, r.tokens)
+			w.t.Fatalf("request %v keeps %d tokens", r.lifecycle.first, r.tokens)
 		}
 	}
 }
 
-// TestJourneysThroughFaults drives several requests, an ingress and guards with
+// TestLifecyclesThroughFaults drives several requests, an ingress and guards with
 // the real ledger over a link that delays, loses, repeats and reorders, with
 // crossed and cut answers, restarts of guards and deaths of backend servers. The
-// longer run: go test ./attempt/journey -v -run Faults -rapid.checks=200000.
-func TestJourneysThroughFaults(t *testing.T) {
+// longer run: go test ./attempt/lifecycle -v -run Faults -rapid.checks=200000.
+func TestLifecyclesThroughFaults(t *testing.T) {
 	seen := map[Outcome]int{}
 	runs := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/attempt/journey/world_test.go
+++ b/attempt/lifecycle/world_test.go
@@ -1,4 +1,4 @@
-package journey
+package lifecycle
 
 import (
 	"slices"
@@ -47,9 +47,9 @@
 	freed bool
 }
 
-// request is a journey and what the oracle expects of it.
+// request is a lifecycle and what the oracle expects of it.
 type request struct {
-	journey    *Journey
+	lifecycle  *Lifecycle
 	repeatable bool
 	runs       int
 	attempts   []*sentAttempt
@@ -128,7 +128,7 @@
 
 func (w *world) begin() {
 	r := &request{repeatable: w.chance(3, "repeatable")}
-	r.journey = New(id.New("ingress", 1, uint64(len(w.requests))))
+	r.lifecycle = New(id.New("ingress", 1, uint64(len(w.requests))))
 	w.requests = append(w.requests, r)
 	b := Begin{Repeatable: r.repeatable, Deadline: w.now.Add(3 * time.Second), MaxAttempts: 3}
 	if w.chance(2, "hedged") {
@@ -137,9 +137,9 @@
 	w.feed(r, b)
 }
 
-// feed gives an event to a journey and carries out what follows.
+// feed gives an event to a lifecycle and carries out what follows.
 func (w *world) feed(r *request, event decision.Event) {
-	for _, action := range r.journey.Update(w.now, event) {
+	for _, action := range r.lifecycle.Update(w.now, event) {
 		switch a := action.(type) {
 		case DrawToken:
 			w.drawToken(r)
@@ -183,7 +183,7 @@
 
 func (w *world) dispatch(r *request, d Dispatch) {
 	g := int(d.Guard[0] - 'a')
-	incarnation, deadline, _ := w.clocks[g].Deadline(w.now, r.journey.begin.Deadline.Sub(w.now))
+	incarnation, deadline, _ := w.clocks[g].Deadline(w.now, r.lifecycle.begin.Deadline.Sub(w.now))
 	a := &sentAttempt{request: r, n: d.ID.Attempt, guard: g, incarnation: incarnation, deadline: deadline, outstanding: true}
 	w.sent[d.ID] = a
 	r.attempts = append(r.attempts, a)
@@ -199,7 +199,7 @@
 	})
 }
 
-// ending tells a journey how an attempt ended, once.
+// ending tells a lifecycle how an attempt ended, once.
 func (w *world) ending(a *sentAttempt, event decision.Event) {
 	if !a.outstanding {
 		return
@@ -263,7 +263,7 @@
 
 func (w *world) cancelAt(a *sentAttempt) Certainty {
 	g := w.guards[a.guard]
-	attempt := a.request.journey.first.WithAttempt(a.n)
+	attempt := a.request.lifecycle.first.WithAttempt(a.n)
 	certainty := MayRun
 	event := ledger.Cancel{ID: attempt, Incarnation: a.incarnation, Deadline: a.deadline}
 	for _, action := range w.update(a.guard, event) {
--- a/hop/control/control.go
+++ b/hop/control/control.go
@@ -19,8 +19,8 @@
 
 	"berylpass/attempt/clock"
 	"berylpass/attempt/id"
-	"berylpass/attempt/journey"
 	"berylpass/attempt/ledger"
+	"berylpass/attempt/lifecycle"
 	"berylpass/choice/chooser"
 	"berylpass/choice/report"
 	"berylpass/choice/verdict"
@@ -94,19 +94,19 @@
 }
 
 // Cancel asks a guard that an attempt not run and returns what is certain then.
-func (c *Control) Cancel(ctx context.Context, at member.ID, e hop.Envelope) journey.Certainty {
+func (c *Control) Cancel(ctx context.Context, at member.ID, e hop.Envelope) lifecycle.Certainty {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	args := guard.CancelArgs{Attempt: e.Attempt, Incarnation: e.Incarnation, Expires: e.Expires}
 	var reply guard.CancelReply
 	if err := c.caller.Call(ctx, at, guard.ServiceName+".Cancel", args, &reply); err != nil {
-		return journey.Unreachable
+		return lifecycle.Unreachable
 	}
 	c.Heard(at, reply.Incarnation, reply.Clock)
 	if reply.State == ledger.NotRun {
-		return journey.NeverRuns
+		return lifecycle.NeverRuns
 	}
-	return journey.MayRun
+	return lifecycle.MayRun
 }
 
 // Probe asks a guard to send a safe request to its backend server.
--- a/ingress/draw.go
+++ b/ingress/draw.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"berylpass/attempt/journey"
+	"berylpass/attempt/lifecycle"
 	"berylpass/decision"
 	"berylpass/guard"
 	"berylpass/limit/enforcer"
@@ -14,15 +14,15 @@
 // drawToken draws a token of the organisation's limit. Routes open to all need none.
 func (x *exchange) drawToken() (*enforcer.Token, decision.Event) {
 	if x.caller.organisation == "" {
-		return nil, journey.TokenDrawn{}
+		return nil, lifecycle.TokenDrawn{}
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, x.began.Add(x.route.Deadline))
 	defer cancel()
 	token, err := x.ingress.Limit.Draw(ctx, x.caller.organisation)
 	if err == nil {
-		return &token, journey.TokenDrawn{}
+		return &token, lifecycle.TokenDrawn{}
 	}
-	refused := journey.TokenRefused{Reason: ReasonOverLimit, RetryAfter: time.Second}
+	refused := lifecycle.TokenRefused{Reason: ReasonOverLimit, RetryAfter: time.Second}
 	var refusal *enforcer.Refusal
 	if errors.As(err, &refusal) {
 		refused.RetryAfter = refusal.RetryAfter
@@ -59,17 +59,17 @@
 }
 
 // absorb takes the token that an event from the background brings and returns
-// the event for the journey.
+// the event for the lifecycle.
 func (x *exchange) absorb(event decision.Event) decision.Event {
 	switch e := event.(type) {
 	case drawn:
 		x.keep(e.token)
 		return e.event
-	case journey.NotRun:
+	case lifecycle.NotRun:
 		x.keep(x.flights[e.Attempt].token)
-	case journey.DialFailed:
+	case lifecycle.DialFailed:
 		x.keep(x.flights[e.Attempt].token)
-	case journey.Lost:
+	case lifecycle.Lost:
 		x.expired = x.expired || x.flights[e.Attempt].answer.Report.Reason == guard.ReasonDeadline
 	}
 	return event
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"berylpass/attempt/id"
-	"berylpass/attempt/journey"
+	"berylpass/attempt/lifecycle"
 	"berylpass/choice/chooser"
 	"berylpass/config/route"
 	"berylpass/config/snapshot"
@@ -17,7 +17,7 @@
 // maxAttempts bounds the attempts of a repeatable request.
 const maxAttempts = 3
 
-// exchange carries out the journey of one request.
+// exchange carries out the lifecycle of one request.
 type exchange struct {
 	ingress  *Ingress
 	began    time.Time
@@ -28,7 +28,7 @@
 	request  forwarder.Request
 
 	ctx     context.Context
-	core    *journey.Journey
+	core    *lifecycle.Lifecycle
 	events  chan decision.Event
 	done    chan struct{}
 	timers  []*time.Timer
@@ -43,13 +43,13 @@
 func (x *exchange) run(ctx context.Context) ended {
 	i := x.ingress
 	x.ctx = ctx
-	x.core = journey.New(x.id)
+	x.core = lifecycle.New(x.id)
 	x.events = make(chan decision.Event, 8)
 	x.done = make(chan struct{})
 	defer x.returnTokens()
 	defer close(x.done)
 	defer x.stopTimers()
-	begin := journey.Begin{
+	begin := lifecycle.Begin{
 		Repeatable:  x.route.Repeatable,
 		Deadline:    x.began.Add(x.route.Deadline),
 		MaxAttempts: maxAttempts,
@@ -64,13 +64,13 @@
 		case event = <-x.events:
 			event = x.absorb(event)
 		case <-ctx.Done():
-			x.update(journey.CallerLeft{})
+			x.update(lifecycle.CallerLeft{})
 			return ended{outcome: Unknown, reason: "caller-left", attempts: len(x.flights)}
 		}
 	}
 }
 
-// update feeds an event to the journey and carries out what follows, with the
+// update feeds an event to the lifecycle and carries out what follows, with the
 // events that answer at once.
 func (x *exchange) update(event decision.Event) (ended, bool) {
 	pending := []decision.Event{event}
@@ -80,7 +80,7 @@
 		actions := x.core.Update(x.ingress.Clock(), pending[0])
 		pending = pending[1:]
 		for _, action := range actions {
-			if reply, ok := action.(journey.Reply); ok {
+			if reply, ok := action.(lifecycle.Reply); ok {
 				end, over = x.ended(reply), true
 				continue
 			}
@@ -92,35 +92,35 @@
 	return end, over
 }
 
-// carryOut does what the journey asks and returns the event that answers it at once, or nil.
+// carryOut does what the lifecycle asks and returns the event that answers it at once, or nil.
 func (x *exchange) carryOut(action decision.Action) decision.Event {
 	switch a := action.(type) {
-	case journey.DrawToken:
+	case lifecycle.DrawToken:
 		return x.draw(a.Purpose)
-	case journey.ReturnToken:
+	case lifecycle.ReturnToken:
 		x.giveBack(a.Count)
-	case journey.Pick:
+	case lifecycle.Pick:
 		return x.pick(a)
-	case journey.Dispatch:
+	case lifecycle.Dispatch:
 		x.dispatch(a)
-	case journey.Cancel:
+	case lifecycle.Cancel:
 		x.cancel(a)
-	case journey.SetTimer:
+	case lifecycle.SetTimer:
 		x.setTimer(a)
 	}
 	return nil
 }
 
 // draw takes a token at once for the first attempt and in the background for others.
-func (x *exchange) draw(p journey.Purpose) decision.Event {
-	if p == journey.First {
+func (x *exchange) draw(p lifecycle.Purpose) decision.Event {
+	if p == lifecycle.First {
 		token, event := x.drawToken()
 		x.keep(token)
 		return event
 	}
 	if !x.ingress.withdraw(x.route.Name) {
 		x.ingress.Observer.BudgetEmpty(x.route.Name)
-		return journey.TokenRefused{Reason: reasonBudget}
+		return lifecycle.TokenRefused{Reason: reasonBudget}
 	}
 	go func() {
 		token, event := x.drawToken()
@@ -137,17 +137,17 @@
 	event decision.Event
 }
 
-func (x *exchange) pick(p journey.Pick) decision.Event {
+func (x *exchange) pick(p lifecycle.Pick) decision.Event {
 	target, err := x.ingress.Chooser.Pick(x.route.Service, p.Exclude)
 	if err != nil {
-		return journey.NoneAvailable{Reason: reasonNoBackend, RetryAfter: time.Second}
+		return lifecycle.NoneAvailable{Reason: reasonNoBackend, RetryAfter: time.Second}
 	}
 	x.target = target
-	return journey.Picked{Backend: target.Backend.ID, Guard: target.Guard.ID}
+	return lifecycle.Picked{Backend: target.Backend.ID, Guard: target.Guard.ID}
 }
 
-func (x *exchange) setTimer(a journey.SetTimer) {
-	fired := journey.TimerFired{Timer: a.Timer}
+func (x *exchange) setTimer(a lifecycle.SetTimer) {
+	fired := lifecycle.TimerFired{Timer: a.Timer}
 	left := a.At.Sub(x.ingress.Clock())
 	x.timers = append(x.timers, time.AfterFunc(left, func() { _ = x.post(fired) }))
 }
--- a/ingress/flight.go
+++ b/ingress/flight.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"berylpass/attempt/journey"
+	"berylpass/attempt/lifecycle"
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
 	"berylpass/choice/verdict"
@@ -35,7 +35,7 @@
 
 // dispatch sends an attempt in the background. The flight accounts for its token
 // and tells the chooser how it ended, whether or not the request still waits.
-func (x *exchange) dispatch(a journey.Dispatch) {
+func (x *exchange) dispatch(a lifecycle.Dispatch) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.ctx), x.began.Add(x.route.Deadline))
 	f := &flight{
 		exchange: x,
@@ -120,7 +120,7 @@
 // the request no longer waits.
 func (f *flight) returnToken(event decision.Event) {
 	switch event.(type) {
-	case journey.NotRun, journey.DialFailed:
+	case lifecycle.NotRun, lifecycle.DialFailed:
 		if f.token != nil {
 			f.exchange.ingress.Limit.Return(*f.token)
 		}
@@ -169,18 +169,18 @@
 	r := f.answer.Report
 	switch {
 	case errors.Is(err, forwarder.ErrNotSent):
-		return journey.DialFailed{Attempt: f.attempt}
+		return lifecycle.DialFailed{Attempt: f.attempt}
 	case err != nil || r.Ending == hop.Unknown:
-		return journey.Lost{Attempt: f.attempt}
+		return lifecycle.Lost{Attempt: f.attempt}
 	case r.Ending == hop.NotRun:
-		return journey.NotRun{
+		return lifecycle.NotRun{
 			Attempt:    f.attempt,
 			Reason:     r.Reason,
 			RetryAfter: r.RetryAfter,
 			Everywhere: refusedEverywhere(r.Reason),
 		}
 	}
-	return journey.Answered{Attempt: f.attempt, ID: r.Attempt, Status: f.answer.Status}
+	return lifecycle.Answered{Attempt: f.attempt, ID: r.Attempt, Status: f.answer.Status}
 }
 
 // refusedEverywhere reports whether a guard's reason holds at every other guard too.
@@ -194,7 +194,7 @@
 
 // cancel asks the guard in the background that the attempt not run, and lets go
 // of its connection. An attempt that has not been addressed yet never leaves.
-func (x *exchange) cancel(a journey.Cancel) {
+func (x *exchange) cancel(a lifecycle.Cancel) {
 	f := x.flights[a.ID.Attempt]
 	go func() {
 		f.cancel()
@@ -202,6 +202,6 @@
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), cancelTimeout)
 		defer cancel()
 		certainty := x.ingress.Guards.Cancel(ctx, a.Guard, f.envelope)
-		_ = x.post(journey.CancelResult{Attempt: f.attempt, Certainty: certainty})
+		_ = x.post(lifecycle.CancelResult{Attempt: f.attempt, Certainty: certainty})
 	}()
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -17,7 +17,7 @@
 
 	"berylpass/attempt/clock"
 	"berylpass/attempt/id"
-	"berylpass/attempt/journey"
+	"berylpass/attempt/lifecycle"
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
 	"berylpass/config/class"
@@ -90,7 +90,7 @@
 type Guards interface {
 	Heard(guard member.ID, incarnation uint64, reading int64)
 	Clock(ctx context.Context, guard member.ID) (clock.Clock, error)
-	Cancel(ctx context.Context, guard member.ID, e hop.Envelope) journey.Certainty
+	Cancel(ctx context.Context, guard member.ID, e hop.Envelope) lifecycle.Certainty
 }
 
 // Parts are what an ingress works with.
--- a/ingress/reply.go
+++ b/ingress/reply.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"berylpass/attempt/id"
-	"berylpass/attempt/journey"
+	"berylpass/attempt/lifecycle"
 	"berylpass/config/snapshot"
 	"berylpass/guard"
 	"berylpass/header"
@@ -35,7 +35,7 @@
 	AttemptHeader = "Berylpass-Attempt"
 )
 
-// The reasons of refusals, besides those of guards and journeys.
+// The reasons of refusals, besides those of guards and lifecycles.
 const (
 	// ReasonOverLimit tells that the organisation has used up its rate and burst.
 	ReasonOverLimit = "over-limit"
@@ -55,10 +55,10 @@
 	answer     forwarder.Answer
 }
 
-// ended maps the end of a journey to what the caller is told.
-func (x *exchange) ended(r journey.Reply) ended {
-	if r.Reason == journey.ReasonLost && x.expired {
-		r.Reason = journey.ReasonDeadline
+// ended maps the end of a lifecycle to what the caller is told.
+func (x *exchange) ended(r lifecycle.Reply) ended {
+	if r.Reason == lifecycle.ReasonLost && x.expired {
+		r.Reason = lifecycle.ReasonDeadline
 	}
 	end := ended{
 		outcome:    Outcome(r.Outcome),
@@ -68,22 +68,22 @@
 		attempt:    x.id,
 		attempts:   len(x.flights),
 	}
-	if r.Outcome == journey.AnsweredOutcome {
+	if r.Outcome == lifecycle.AnsweredOutcome {
 		f := x.flights[r.Attempt.Attempt]
 		end.answer, end.attempt, end.status = f.answer, r.Attempt, f.answer.Status
 	}
 	return end
 }
 
-func statusOf(r journey.Reply) int {
+func statusOf(r lifecycle.Reply) int {
 	switch {
-	case r.Outcome == journey.NotRunOutcome && r.Reason == ReasonOverLimit:
+	case r.Outcome == lifecycle.NotRunOutcome && r.Reason == ReasonOverLimit:
 		return http.StatusTooManyRequests
-	case r.Outcome == journey.NotRunOutcome && r.Reason == guard.ReasonKeyWithdrawn:
+	case r.Outcome == lifecycle.NotRunOutcome && r.Reason == guard.ReasonKeyWithdrawn:
 		return http.StatusUnauthorized
-	case r.Outcome == journey.NotRunOutcome:
+	case r.Outcome == lifecycle.NotRunOutcome:
 		return http.StatusServiceUnavailable
-	case r.Reason == journey.ReasonDeadline:
+	case r.Reason == lifecycle.ReasonDeadline:
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusBadGateway
--- a/limit/limiter/answer.go
+++ b/limit/limiter/answer.go
@@ -16,7 +16,7 @@
 	var reply message.Asked
 	var reads []decision.Action
 	for _, item := range ask.Items {
-		s := l.seat(item.Shard)
+		s := l.holding(item.Shard)
 		if s == nil {
 			reply.Items = append(reply.Items, lease.Reply{Shard: item.Shard})
 			if item.Shard >= 0 && item.Shard < allotment.Shards {
@@ -38,7 +38,7 @@
 // asked takes in promises and loans.
 func (l *Limiter) asked(now time.Time, e Asked) {
 	for _, reply := range e.Reply.Items {
-		s := l.seat(reply.Shard)
+		s := l.holding(reply.Shard)
 		if s == nil {
 			continue
 		}
@@ -62,7 +62,7 @@
 	var actions []decision.Action
 	for _, item := range borrow.Items {
 		shard := allotment.Shard(item.Organisation)
-		s := l.seats[shard]
+		s := l.holdings[shard]
 		if s == nil {
 			reply.Items = append(reply.Items, message.Granted{Organisation: item.Organisation, Verdict: message.Elsewhere})
 			continue
@@ -108,7 +108,7 @@
 func (l *Limiter) takeBack(now time.Time, back message.Return) {
 	for _, item := range back.Items {
 		shard := allotment.Shard(item.Organisation)
-		if s := l.seats[shard]; s != nil {
+		if s := l.holdings[shard]; s != nil {
 			l.share(now, s)
 		}
 		l.holder.TakeBack(now, back.From, shard, item)
@@ -116,15 +116,15 @@
 }
 
 // share brings the holder up to date with what the lease allows at now.
-func (l *Limiter) share(now time.Time, s *seat) {
+func (l *Limiter) share(now time.Time, s *holding) {
 	l.holder.SetShares(now, s.lease.Shard(), s.lease.Usable(now))
 }
 
-func (l *Limiter) seat(shard int) *seat {
+func (l *Limiter) holding(shard int) *holding {
 	if shard < 0 || shard >= allotment.Shards {
 		return nil
 	}
-	return l.seats[shard]
+	return l.holdings[shard]
 }
 
 // placeAll works out who should hold each shard.
@@ -139,9 +139,9 @@
 	return !l.leaving && slices.Contains(l.routes[shard].placed, l.self)
 }
 
-// heir returns who should get shares that the daemon gives away: a placed daemon that
+// successor returns who should get shares that the daemon gives away: a placed daemon that
 // holds none, or else, for a daemon that leaves, a co-holder.
-func (l *Limiter) heir(shard int, record allotment.Record) (member.ID, bool) {
+func (l *Limiter) successor(shard int, record allotment.Record) (member.ID, bool) {
 	for _, id := range l.routes[shard].placed {
 		if id != l.self && !record.Holds(id) {
 			return id, true
--- a/limit/limiter/draw.go
+++ b/limit/limiter/draw.go
@@ -139,7 +139,7 @@
 // candidate returns the holder to ask: the one that was named last, the record's, the placed ones.
 func (l *Limiter) candidate(now time.Time, shard int, p *pending) (member.ID, bool) {
 	r := &l.routes[shard]
-	if s := l.seats[shard]; s != nil {
+	if s := l.holdings[shard]; s != nil {
 		if id, ok := s.lease.Primary(now); ok && l.usable(now, id, p) {
 			return id, true
 		}
--- a/limit/limiter/seat.go
+++ b/limit/limiter/holding.go
@@ -29,8 +29,8 @@
 	giveInterval = time.Second
 )
 
-// seat is the daemon's part in a shard with the times of its next calls.
-type seat struct {
+// holding is the daemon's part in a shard with the times of its next calls.
+type holding struct {
 	lease   *lease.Lease
 	askAt   time.Time
 	readAt  time.Time
@@ -40,12 +40,12 @@
 	actedAt time.Time
 }
 
-// tendSeats keeps the leases: asks, reads, writes, donations.
-func (l *Limiter) tendSeats(now time.Time) []decision.Action {
+// tendHoldings keeps the leases: asks, reads, writes, donations.
+func (l *Limiter) tendHoldings(now time.Time) []decision.Action {
 	asks := map[member.ID][]lease.Ask{}
 	var calls []decision.Action
 	reads, writes := readsPerTick, writesPerTick
-	for shard, s := range l.seats {
+	for shard, s := range l.holdings {
 		if s == nil {
 			if read, ok := l.claim(now, shard, &reads); ok {
 				calls = append(calls, read)
@@ -81,7 +81,7 @@
 }
 
 // tendShares applies what the lease allows, and plans donations.
-func (l *Limiter) tendShares(now time.Time, s *seat) {
+func (l *Limiter) tendShares(now time.Time, s *holding) {
 	l.share(now, s)
 	if !s.lease.Holds() || now.Before(s.giveAt) || s.lease.Giving() {
 		return
@@ -99,7 +99,7 @@
 	if own == 0 {
 		return
 	}
-	if to, ok := l.heir(shard, record); ok {
+	if to, ok := l.successor(shard, record); ok {
 		if !l.leaving {
 			own = 1
 		}
@@ -109,7 +109,7 @@
 }
 
 // askInterval is short for a daemon that uses or should get co-holders' shares, long for the others.
-func (l *Limiter) askInterval(now time.Time, s *seat) time.Duration {
+func (l *Limiter) askInterval(now time.Time, s *holding) time.Duration {
 	if !s.lease.WantsLoan(now) {
 		return promiseInterval
 	}
@@ -163,7 +163,7 @@
 
 // read takes in a record; a missing one is created by the first daemon that should hold it.
 func (l *Limiter) read(now time.Time, e Read) []decision.Action {
-	if s := l.seats[e.Shard]; s != nil {
+	if s := l.holdings[e.Shard]; s != nil {
 		s.reading = false
 		s.readAt = now.Add(readInterval)
 	}
@@ -172,7 +172,7 @@
 		return nil
 	case e.Missing:
 		placed := l.routes[e.Shard].placed
-		if l.seats[e.Shard] != nil || !l.placedHere(e.Shard) || placed[0] != l.self {
+		if l.holdings[e.Shard] != nil || !l.placedHere(e.Shard) || placed[0] != l.self {
 			return nil
 		}
 		return []decision.Action{WriteRecord{Shard: e.Shard, Record: allotment.New(placed)}}
@@ -183,16 +183,16 @@
 
 func (l *Limiter) learn(now time.Time, shard int, record allotment.Record, version uint64, created bool) {
 	l.routes[shard].holders = record.Holders()
-	s := l.seats[shard]
+	s := l.holdings[shard]
 	if s == nil {
 		if !record.Holds(l.self) {
 			return
 		}
-		s = &seat{lease: lease.New(l.self, shard, l.started), readAt: now.Add(readInterval)}
+		s = &holding{lease: lease.New(l.self, shard, l.started), readAt: now.Add(readInterval)}
 		if created {
 			s.lease.Fresh(now)
 		}
-		l.seats[shard] = s
+		l.holdings[shard] = s
 	}
 	l.share(now, s)
 	s.lease.Learn(now, record, version)
@@ -208,7 +208,7 @@
 		}
 		return []decision.Action{ReadRecord{Shard: e.Shard}}
 	}
-	s := l.seats[e.Shard]
+	s := l.holdings[e.Shard]
 	if s == nil {
 		return nil
 	}
--- a/limit/limiter/limiter.go
+++ b/limit/limiter/limiter.go
@@ -53,7 +53,7 @@
 	listAt    time.Time
 	sweepAt   time.Time
 
-	seats [allotment.Shards]*seat
+	holdings [allotment.Shards]*holding
 	// routes says for each shard who can be asked for tokens.
 	routes [allotment.Shards]route
 
@@ -140,7 +140,7 @@
 		l.listing = true
 		actions = append(actions, ListRecords{})
 	}
-	actions = append(actions, l.tendSeats(now)...)
+	actions = append(actions, l.tendHoldings(now)...)
 	actions = append(actions, l.giveBack(now, l.borrower.Ending(now, endMargin))...)
 	actions = append(actions, l.flush(now)...)
 	if !now.Before(l.sweepAt) {
@@ -171,7 +171,7 @@
 
 // Left reports whether a leaving daemon has handed all its shares over.
 func (l *Limiter) Left() bool {
-	for _, s := range l.seats {
+	for _, s := range l.holdings {
 		if s != nil && s.lease.Holds() {
 			return false
 		}
@@ -182,7 +182,7 @@
 // Whole returns the number of shards of which the daemon may grant from all shares.
 func (l *Limiter) Whole(now time.Time) int {
 	n := 0
-	for _, s := range l.seats {
+	for _, s := range l.holdings {
 		if s != nil && len(s.lease.Usable(now)) == allotment.Shares {
 			n++
 		}
@@ -193,7 +193,7 @@
 // Shares returns the number of shares that the daemon may grant from, over all shards.
 func (l *Limiter) Shares(now time.Time) int {
 	n := 0
-	for _, s := range l.seats {
+	for _, s := range l.holdings {
 		if s != nil {
 			n += len(s.lease.Usable(now))
 		}
