--- a/operate/localfleet/option.go
+++ b/operate/localfleet/option.go
@@ -25,3 +25,8 @@
 
 // MeshKey returns the key by which the daemons of a local fleet know each other.
 func MeshKey() (*meshkey.MeshKey, error) { return meshkey.New(secret) }
+
+// WithTLS serves callers over TLS with the PEM files.
+func WithTLS(certificateFile, keyFile string) Setting {
+	return func(s *settings.Settings) { s.TLS.Certificate, s.TLS.Key = certificateFile, keyFile }
+}
