--- a/daemon/start.go
+++ b/daemon/start.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/lesismal/llib/std/crypto/tls"
 
 	"berylpass/announcement"
@@ -42,23 +43,23 @@
 // been started when it fails is ended by Close.
 func (d *Daemon) start() error {
 	if err := d.startMesh(); err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	d.self = member.New(member.ID(d.settings.Daemon.ID), d.settings.Daemon.Datacentre).
 		WithIncarnation(uint64(d.clock().UnixMilli()))
 	store := observed.New(client.New(d.settings.Platform.URL, client.WithTimeout(d.settings.Platform.Timeout)), d.storeChanged)
 	d.startChoice(store)
 	if err := d.startData(); err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	d.startFleet(store)
 	d.startIngress()
 	if err := d.register(); err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	d.mesh.Serve()
 	if err := d.startPorts(); err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	d.startMonitor()
 	return nil
@@ -73,12 +74,12 @@
 func (d *Daemon) startMesh() error {
 	key, err := meshkey.New(d.settings.Mesh.Secret, d.settings.Mesh.AlsoTrustedSecrets...)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	d.key, d.book = key, directory.New()
 	d.mesh, err = mesh.New(d.settings.Listen.Control, key, d.book)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	d.started(d.mesh.Close)
 	return nil
@@ -112,7 +113,7 @@
 		listener.WithMaxBody(d.settings.Limits.MaxBody),
 		listener.WithMaxHeader(2*int(d.settings.Limits.MaxHeader)))
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	d.data = data
 	d.started(data.Close)
@@ -171,19 +172,19 @@
 
 func (d *Daemon) startPorts() (err error) {
 	if d.backends, err = listener.New(d.settings.Listen.Backends, announcement.New(d.guard, announcement.WithRefused(d.announcementRefused))); err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	d.started(d.backends.Close)
 	if d.operating, err = listener.New(d.settings.Listen.Operators, d.operators()); err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	d.started(d.operating.Close)
 	options, err := d.callerOptions()
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	if d.callers, err = listener.New(d.settings.Listen.Callers, d.ingress, options...); err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	d.started(d.callers.Close)
 	event.Waiting.Log(&d.logger).Str("callers", d.callers.Address()).Send()
--- a/operate/demo/demo.go
+++ b/operate/demo/demo.go
@@ -8,7 +8,7 @@
 //
 //	broken, err := demo.New(os.Stdout).Run(ctx)
 //
-// A run takes about 20 seconds. The result lists the broken invariants, none if all is well.
+// A run takes about half a minute, of which the limits take six seconds to settle. The result lists the broken invariants, none if all is well.
 package demo
 
 import (
--- a/operate/process/backend.go
+++ b/operate/process/backend.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"berylpass/emulator"
 	"berylpass/emulator/announcer"
 )
@@ -35,7 +37,7 @@
 	e, err := emulator.New(c.Listen,
 		emulator.WithSlots(c.Slots), emulator.WithServiceTime(c.ServiceTime), emulator.WithColdStart(c.ColdStart))
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	defer e.Close()
 	e.SetFault(emulator.Fault{SlowFactor: c.SlowFactor, ErrorShare: c.ErrorShare, Deaf: c.Deaf})
@@ -53,7 +55,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
 	defer cancel()
 	if err := a.Drain(ctx); err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	ticker := time.NewTicker(100 * time.Millisecond)
 	defer ticker.Stop()
--- a/operate/process/demo.go
+++ b/operate/process/demo.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/gravitational/trace"
+
 	"berylpass/operate/demo"
 )
 
@@ -13,7 +15,7 @@
 func (c *runDemo) Execute([]string) error {
 	broken, err := demo.New(c.stdout).Run(c.root.Context())
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	if len(broken) > 0 {
 		return fmt.Errorf("%w: %d times", ErrBroken, len(broken))
--- a/operate/process/load.go
+++ b/operate/process/load.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"runtime/pprof"
 	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"berylpass/config/datacentre"
 	"berylpass/config/key"
 	"berylpass/config/organisation"
@@ -16,12 +17,13 @@
 	"berylpass/config/service"
 	"berylpass/config/snapshot"
 	"berylpass/emulator"
+	"berylpass/operate/command"
 	"berylpass/operate/load"
 	"berylpass/operate/localfleet"
 )
 
 // errPlanOrSelf reports a load command without, or with both, a plan and --self.
-var errPlanOrSelf = errors.New("load: want either a plan FILE or --self")
+var errPlanOrSelf = fmt.Errorf("%w: load takes either a plan FILE or --self", command.ErrUsage)
 
 // runLoad sends load.
 type runLoad struct {
@@ -53,11 +55,11 @@
 	}
 	text, err := os.ReadFile(c.Arguments.File)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	plan, err := load.ParsePlan(c.Arguments.File, text)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	return c.measure(c.root.Context(), plan)
 }
@@ -65,7 +67,7 @@
 func (c *runLoad) measure(ctx context.Context, plan load.Plan) error {
 	result, err := load.New(plan).Run(ctx)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	if c.Format == "json" {
 		return result.WriteJSON(c.stdout)
@@ -76,23 +78,23 @@
 func (c *runLoad) measureSelf(ctx context.Context) error {
 	f, err := localfleet.New()
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	defer f.Close()
 	plan, err := c.startSelf(ctx, f)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	if c.Profile == "" {
 		return c.measure(ctx, plan)
 	}
 	file, err := os.Create(c.Profile)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	defer func() { _ = file.Close() }()
 	if err := pprof.StartCPUProfile(file); err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	defer pprof.StopCPUProfile()
 	return c.measure(ctx, plan)
--- a/operate/process/platform.go
+++ b/operate/process/platform.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/gravitational/trace"
+
 	"berylpass/platform/standin"
 )
 
@@ -18,7 +20,7 @@
 	defer stop()
 	s, err := standin.New(c.Listen)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	defer s.Close()
 	_, _ = fmt.Fprintf(c.stdout, "object API on http://%s\n", s.Address())
--- a/operate/process/process.go
+++ b/operate/process/process.go
@@ -40,7 +40,7 @@
 	root.Add("serve", "run a daemon",
 		"Run the daemon beside the backend servers of one VM. SIGTERM or SIGINT shut it down gracefully; a second one ends it at once.", &serve{world: w})
 	root.Add("demo", "show a fleet at work",
-		"Run a whole fleet in one process on loopback for about 20 seconds: a gray backend server, a withdrawn key, a data centre out and back, a shutdown.", &runDemo{world: w})
+		"Run a whole fleet in one process on loopback for about half a minute: a gray backend server, a withdrawn key, a data centre out and back, a shutdown.", &runDemo{world: w})
 	root.Add("status", "show the fleet as a daemon sees it",
 		"Ask a daemon's operators' port for members, data centres and backend servers with state and reason.", &showStatus{world: w})
 	root.Add("load", "measure a fleet under load",
--- a/operate/process/serve.go
+++ b/operate/process/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 
+	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
 	"berylpass/config/settings"
@@ -31,7 +32,7 @@
 func (c *serve) Execute([]string) error {
 	s, err := settings.Load(c.Arguments.File)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	level, err := zerolog.ParseLevel(s.Log.Level)
 	if err != nil {
@@ -42,8 +43,8 @@
 	defer stop()
 	d, err := daemon.New(s, logger)
 	if err != nil {
-		event.Failed.Log(&logger).Err(err).Send()
-		return err
+		event.Failed.Log(&logger).Err(err).Str("trace", trace.DebugReport(err)).Send()
+		return trace.Wrap(err)
 	}
 	select {
 	case <-ending:
@@ -61,7 +62,7 @@
 	go func() { done <- d.Shutdown(ctx) }()
 	select {
 	case err := <-done:
-		return err
+		return trace.Wrap(err)
 	case <-again:
 		return errEnded
 	}
--- a/operate/process/status.go
+++ b/operate/process/status.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"berylpass/operate/status"
 )
 
@@ -26,7 +28,7 @@
 	defer cancel()
 	s, err := status.Fetch(ctx, strings.TrimSuffix(c.Arguments.URL, "/"))
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	if c.Format == "json" {
 		return json.NewEncoder(c.stdout).Encode(s)
