Bound all bodies together; keep late answers out of replies

(2) Bodies were bounded each, not together. Ruled out for (1): the limits' adapter alone; any caller of Mesh.Call that looks at its reply after an error is concerned. Change: (1) the mesh decodes into a value of the call's own and copies it on success. (2) the listener counts body bytes of all connections and refuses with 503 bodies-full beyond 128 MiB.

--- a/caller/listener/conn.go
+++ b/caller/listener/conn.go
@@ -52,6 +52,7 @@
 	changed sync.Cond
 	// unanswered counts the requests that were read and not yet answered.
 	unanswered int
+	bodies     holdings
 	// reading tells that a part of a request has arrived.
 	reading bool
 	// unsent counts the bytes that the system has not taken yet.
@@ -198,6 +199,7 @@
 	c.cancel()
 	c.mu.Lock()
 	c.closed = true
+	c.freeBodies()
 	if c.stall != nil {
 		c.stall.Stop()
 	}
@@ -246,6 +248,8 @@
 		return http.StatusRequestEntityTooLarge, "body-too-large"
 	case errors.Is(err, framing.ErrExpectation):
 		return http.StatusExpectationFailed, "unsupported-expectation"
+	case errors.Is(err, errBodiesFull):
+		return http.StatusServiceUnavailable, "bodies-full"
 	case errors.Is(err, errPipelined):
 		return http.StatusBadRequest, "too-many-pipelined-requests"
 	}
--- a/caller/listener/feed.go
+++ b/caller/listener/feed.go
@@ -75,6 +75,9 @@
 	case framing.Head:
 		return c.passHead(part)
 	case framing.Body:
+		if err := c.hold(int64(len(part.Bytes))); err != nil {
+			return err
+		}
 		size := strconv.AppendInt(make([]byte, 0, 16), int64(len(part.Bytes)), 16)
 		return c.parse(append(size, newLine...), part.Bytes, newLine)
 	case framing.End:
@@ -163,6 +166,7 @@
 	defer c.deadline.Unlock()
 	c.mu.Lock()
 	c.unanswered++
+	c.completeBody()
 	c.mu.Unlock()
 	_ = c.SetReadDeadline(time.Time{})
 }
--- a/caller/listener/listener.go
+++ b/caller/listener/listener.go
@@ -38,6 +38,7 @@
 const (
 	DefaultMaxHeader      = 64 << 10
 	DefaultMaxBody        = 16 << 20
+	DefaultMaxBodies      = 128 << 20
 	DefaultMaxConnections = 20_000
 	DefaultIdleTimeout    = 75 * time.Second
 	// DefaultShutdownGrace is how long Shutdown leaves idle connections open, so
@@ -51,6 +52,7 @@
 // Listener serves callers on one address.
 type Listener struct {
 	settings settings
+	bodies   bodies
 	handler  http.Handler
 	engine   *engine
 	tcp      *net.TCPListener
@@ -95,6 +97,7 @@
 	for _, option := range options {
 		option(&l.settings)
 	}
+	l.bodies.limit = l.settings.maxBodies
 	l.base, l.cancel = context.WithCancel(context.Background())
 	l.accepter.Go(l.accept)
 	return l, nil
--- a/caller/listener/option.go
+++ b/caller/listener/option.go
@@ -15,6 +15,7 @@
 type settings struct {
 	maxHeader      int
 	maxBody        int64
+	maxBodies      int64
 	maxConnections int
 	idleTimeout    time.Duration
 	shutdownGrace  time.Duration
@@ -27,6 +28,7 @@
 	return settings{
 		maxHeader:      DefaultMaxHeader,
 		maxBody:        DefaultMaxBody,
+		maxBodies:      DefaultMaxBodies,
 		maxConnections: DefaultMaxConnections,
 		idleTimeout:    DefaultIdleTimeout,
 		shutdownGrace:  DefaultShutdownGrace,
@@ -44,6 +46,10 @@
 // WithMaxBody bounds the body of a request in bytes.
 func WithMaxBody(bytes int64) Option { return func(s *settings) { s.maxBody = bytes } }
 
+// WithMaxBodies bounds the bytes of all bodies together that wait for their answers
+// or are being read; a request that finds no room is refused with 503.
+func WithMaxBodies(bytes int64) Option { return func(s *settings) { s.maxBodies = bytes } }
+
 // WithMaxConnections bounds the open connections; more are closed at once.
 func WithMaxConnections(n int) Option { return func(s *settings) { s.maxConnections = n } }
 
--- a/caller/listener/serve.go
+++ b/caller/listener/serve.go
@@ -68,6 +68,7 @@
 func (c *conn) answered() {
 	c.mu.Lock()
 	c.unanswered--
+	c.freeBody()
 	c.mu.Unlock()
 	c.expectRequest()
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -24,6 +24,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -119,7 +120,8 @@
 // Traffic returns the bytes sent and received over TLS connections since the start.
 func (m *Mesh) Traffic() (sent, received int64) { return m.sent.Load(), m.received.Load() }
 
-// Call calls a method of a member and waits for its reply or the end of ctx.
+// Call calls a method of a member and waits for its reply or the end of ctx. Reply
+// is a pointer; it is written only if the error is nil.
 // Errors: ErrUnknownMember and ErrUnreachable mean that the call has not run;
 // after any other error it may have run.
 func (m *Mesh) Call(ctx context.Context, to member.ID, method string, args, reply any) error {
@@ -140,7 +142,10 @@
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// A late answer is decoded into a value of the call's own, since the caller
+	// has its reply back by then.
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		return fmt.Errorf("call %s at %s: %w", method, address, ctx.Err())
@@ -149,6 +154,9 @@
 		if done.Error != nil && !errors.As(done.Error, &answered) {
 			p.drop(client)
 		}
+		if done.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(own.Elem())
+		}
 		return done.Error
 	}
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -10,6 +10,9 @@
 	"berylpass/mesh/meshkey"
 )
 
+// released holds late answers back until it is closed.
+var released = make(chan struct{})
+
 type directory map[member.ID]string
 
 func (d directory) ControlAddress(id member.ID) (string, bool) {
@@ -17,7 +20,7 @@
 	return address, ok
 }
 
-type echo struct{}
+type echo struct{ release chan struct{} }
 
 // Say returns its argument.
 func (echo) Say(text string, reply *string) error {
@@ -25,6 +28,13 @@
 	return nil
 }
 
+// Late returns its argument once it is released.
+func (e echo) Late(text string, reply *string) error {
+	<-e.release
+	*reply = text
+	return nil
+}
+
 func start(t *testing.T, d directory, secrets ...string) *Mesh {
 	t.Helper()
 	key, err := meshkey.New(secrets[0], secrets[1:]...)
@@ -35,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := m.Register("Echo", echo{}); err != nil {
+	if err := m.Register("Echo", echo{release: released}); err != nil {
 		t.Fatal(err)
 	}
 	m.Serve()
@@ -102,3 +112,28 @@
 		t.Errorf("unreachable member: %v", err)
 	}
 }
+
+// TestLateAnswerLeavesTheReplyAlone ends a call before its answer, lets the answer
+// come, and reads the reply: under the race detector nothing else may write it.
+func TestLateAnswerLeavesTheReplyAlone(t *testing.T) {
+	released = make(chan struct{})
+	d := directory{}
+	d["a"] = start(t, d, "secret-of-this-fleet").Address()
+	b := start(t, d, "secret-of-this-fleet")
+	if _, err := say(b, "a", "connect"); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	reply := "untouched"
+	if err := b.Call(ctx, "a", "Echo.Late", "late", &reply); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("got %v, want the context's end", err)
+	}
+	close(released)
+	if _, err := say(b, "a", "after"); err != nil {
+		t.Fatal(err)
+	}
+	if reply != "untouched" {
+		t.Errorf("the reply was written after the call had ended: %q", reply)
+	}
+}
