Keep the internal headers' prefix in one place; drop a dead method

Cause: on the last reading, hop spelt the prefix that package header strips a second time, so that the two could drift apart and let an internal header through; Announcer.Restarted had no caller. Change: hop.Prefix is header.InternalPrefix; the method is gone. No behaviour changes. Measured: build, vet, linter; hop, ingress, header and process tests and four daemon tests pass with the race detector. Conclusion: one definition.

--- a/emulator/announcer/announcer.go
+++ b/emulator/announcer/announcer.go
@@ -83,14 +83,6 @@
 	return a.call(ctx, http.MethodPut, "", body)
 }
 
-// Restarted announces the server with the next incarnation.
-func (a *Announcer) Restarted(ctx context.Context) error {
-	a.mu.Lock()
-	a.server.Incarnation++
-	a.mu.Unlock()
-	return a.Announce(ctx)
-}
-
 // Drain asks the daemon to send no more work, and stops announcing.
 func (a *Announcer) Drain(ctx context.Context) error {
 	a.mu.Lock()
--- a/hop/envelope.go
+++ b/hop/envelope.go
@@ -26,10 +26,11 @@
 	"berylpass/attempt/id"
 	"berylpass/config/class"
 	"berylpass/fleet/backend"
+	"berylpass/header"
 )
 
 // Prefix starts the name of each header of the protocol.
-const Prefix = "Bp-"
+const Prefix = header.InternalPrefix
 
 // ErrMalformed reports headers that are not an envelope or a report.
 var ErrMalformed = errors.New("malformed hop headers")
