Hold a body's whole length from its head on

That this was the cause is by reading the code; the failed run didn't print its refusals. Change: a body with a Content-Length is counted, or refused, when its head has come; chunked ones as they come, as before. Conclusion: an admitted body keeps its room.

--- a/caller/listener/feed.go
+++ b/caller/listener/feed.go
@@ -75,8 +75,10 @@
 	case framing.Head:
 		return c.passHead(part)
 	case framing.Body:
-		if err := c.hold(int64(len(part.Bytes))); err != nil {
-			return err
+		if c.length == framing.Unbounded {
+			if err := c.hold(int64(len(part.Bytes))); err != nil {
+				return err
+			}
 		}
 		size := strconv.AppendInt(make([]byte, 0, 16), int64(len(part.Bytes)), 16)
 		return c.parse(append(size, newLine...), part.Bytes, newLine)
@@ -96,6 +98,13 @@
 		return errPipelined
 	}
 	c.length = part.Length
+	if part.Length > 0 {
+		// The whole body is held from the start, so that bodies which come in
+		// together don't all fail half way.
+		if err := c.hold(part.Length); err != nil {
+			return err
+		}
+	}
 	if part.Length != 0 {
 		_ = c.SetReadDeadline(time.Now().Add(c.bodyTime(part.Length)))
 	}
