--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,13 @@
 #!/bin/sh
+# Writes record.txt beside this file: what was sent, answered and run.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-test -x target/berylpass && test -x target/review-standin || exit 2
-exec target/review-standin departure review/4
+record=review/4/record.txt
+: >"$record" || exit 2
+for program in target/berylpass target/review-standin; do
+	if ! test -x "$program"; then
+		echo "the case can't run: $program is missing; build it first" | tee "$record" >&2
+		exit 2
+	fi
+done
+exec target/review-standin departure "$record"
--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -41,9 +41,20 @@
 	}}}
 }
 
-// do sends one request, once.
+// do sends one request, once, and records what was sent and answered.
 func (c *clients) do(method, path, key string, deadline time.Duration, body []byte) result {
 	out := result{id: newID()}
+	theRecord.log("sent %s %s %s, body of %d bytes, to %s", out.id, method, path, len(body), c.machine.name)
+	c.send(&out, method, path, key, deadline, body)
+	if out.err != nil {
+		theRecord.log("no answer to %s after %v: %v", out.id, out.took.Round(time.Millisecond), out.err)
+	} else {
+		theRecord.log("answered %s: status %d, stamp %q, body of %d bytes, after %v", out.id, out.status, out.stamp, len(out.body), out.took.Round(time.Millisecond))
+	}
+	return out
+}
+
+func (c *clients) send(out *result, method, path, key string, deadline time.Duration, body []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	var reader io.Reader
@@ -53,7 +64,7 @@
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.machine.address("outbound")+path, reader)
 	if err != nil {
 		out.err = err
-		return out
+		return
 	}
 	request.GetBody = nil
 	request.Host = "app.example"
@@ -66,13 +77,12 @@
 	r, err := c.http.Do(request)
 	if err != nil {
 		out.err, out.took = err, time.Since(start)
-		return out
+		return
 	}
 	defer r.Body.Close()
 	out.status, out.stamp = r.StatusCode, r.Header.Get("X-Berylpass-Server-Stamp")
 	out.body, out.err = io.ReadAll(r.Body)
 	out.took = time.Since(start)
-	return out
 }
 
 // theKey is the key of the only tenant.
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -21,12 +21,16 @@
 	start time.Time
 }
 
+// theRecord is the record of the case that runs, nil before there is one.
+var theRecord *record
+
 func newRecord(path string) *record {
 	f, err := os.Create(path)
 	if err != nil {
 		fatal(err)
 	}
-	return &record{file: f, start: time.Now()}
+	theRecord = &record{file: f, start: time.Now()}
+	return theRecord
 }
 
 func (r *record) log(format string, args ...any) {
@@ -38,6 +42,9 @@
 // fatal ends the case with 2: it couldn't run.
 func fatal(err error) {
 	fmt.Fprintln(os.Stderr, "the case can't run:", err)
+	if theRecord != nil {
+		theRecord.log("the case can't run: %v", err)
+	}
 	cleanup()
 	os.Exit(2)
 }
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 )
 
@@ -14,7 +13,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
 	}
 	stop := make(chan os.Signal, 1)
@@ -24,11 +23,12 @@
 		cleanup()
 		os.Exit(2)
 	}()
+	r := newRecord(os.Args[2])
+	r.log("case %s, TROUBLE=%s", os.Args[1], os.Getenv("TROUBLE"))
 	var err error
 	if tempDir, err = os.MkdirTemp("", "review-"); err != nil {
 		fatal(err)
 	}
-	r := newRecord(filepath.Join(os.Args[2], "record.txt"))
 	broken, err := cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fatal(err)
--- a/review/_standin/uploads.go
+++ b/review/_standin/uploads.go
@@ -51,9 +51,6 @@
 			name = kind + " without an answer"
 		}
 		counts[name]++
-		if out.err != nil {
-			r.log("%s %s: no answer after %v: %v", kind, out.id, out.took.Round(time.Millisecond), out.err)
-		}
 	}
 	begin := time.Now()
 	end := begin.Add(spells * (calmFor + hotFor))
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -86,6 +86,7 @@
 			continue
 		}
 		w.runs.Add(1)
+		theRecord.log("run %s on %s: %s %s, body of %d bytes", id, w.id, r.Method, r.RequestURI, len(body))
 		keep := true
 		if w.serve != nil {
 			keep = w.serve(c, r, body)
@@ -130,12 +131,13 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	r, err := client.Do(request)
-	if err != nil {
-		return 0
+	status := 0
+	if r, err := client.Do(request); err == nil {
+		_ = r.Body.Close()
+		status = r.StatusCode
 	}
-	_ = r.Body.Close()
-	return r.StatusCode
+	theRecord.log("%s at %s sends %s %s; answered %d", w.id, w.machine.name, method, body, status)
+	return status
 }
 
 // beat sends a heartbeat every 1500 ms until stopBeating.
