An outdated daemon no longer refuses for the whole fleet

Cause: the ingress took "key-withdrawn", "no-route", "over-limit" and "no-lease" of any guard for the answer of the whole fleet, also of a guard whose configuration was older than the one that the ingress had used.

Change: a guard that doesn't allow a request by a configuration below the revision of the forwarded request refuses it with "configuration-outdated", and fetches the newer one; the ingress tries another guard. The same cause on related paths: an ingress denies a request (401, 404) only if it knows of no newer revision and its proof is at most 2 s old, which is the time in which a change must be in force; else it answers 503 with Retry-After. Limits: a guard's or an ingress's refusal by an older limit is no 429 and not final.

--- a/config/revision/follower.go
+++ b/config/revision/follower.go
@@ -258,6 +258,30 @@
 	return nil
 }
 
+// Behind reports whether this daemon knows that a newer configuration exists than the one in force.
+func (f *Follower) Behind(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.proof != nil && f.proof.claimed.revision > f.applied.Load().snapshot.Revision {
+		return true
+	}
+	return f.spread.Behind(now)
+}
+
+// ProvenNewest reports whether no configuration newer than the one in force was accepted before
+// a few seconds ago, as far as the store or the fleet can tell. Otherwise what the configuration
+// doesn't allow may be allowed by now.
+func (f *Follower) ProvenNewest(now time.Time) bool {
+	if f.Behind(now) || f.Ready(now) != nil {
+		return false
+	}
+	if f.proof == nil {
+		return true
+	}
+	age, known := f.ProofAge()
+	return known && age <= maxDenialAge
+}
+
 // update passes an event to spread and carries out the actions that it returns.
 func (f *Follower) update(event decision.Event) {
 	f.mu.Lock()
--- a/config/revision/proof.go
+++ b/config/revision/proof.go
@@ -21,6 +21,9 @@
 	outageRefreshAge = 1500 * time.Millisecond
 	// proofTimeout bounds one read of the store, and one call of a peer for its proof.
 	proofTimeout = time.Second
+	// maxDenialAge bounds the age of the proof with which ProvenNewest is true. A change must be
+	// in force 2 s after it was accepted.
+	maxDenialAge = 2 * time.Second
 )
 
 // Outages returns which data centres the operators have taken out of service.
--- a/config/spread/spread.go
+++ b/config/spread/spread.go
@@ -120,6 +120,16 @@
 // revision when asked, or couldn't be reached to be asked.
 func (s *Spread) CaughtUp() bool { return s.caughtUp }
 
+// Behind reports whether a trusted source claims a revision above the one in force.
+func (s *Spread) Behind(now time.Time) bool {
+	for _, src := range s.sources {
+		if src.revision > s.revision && src.trusted(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Update applies one event and returns the actions to carry out, in order. The types of
 // events and actions are those of this package.
 func (s *Spread) Update(now time.Time, event decision.Event) []decision.Action {
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -206,7 +206,7 @@
 	event.RetryBudgetEmpty.Log(&o.logger).Str("service", service).Send()
 }
 
-// HeardRevision implements ingress.Observer.
+// HeardRevision implements ingress.Observer and guard.Observer.
 func (o *observer) HeardRevision(revision uint64, from member.ID) { o.revisionHeard(revision, from) }
 
 func (o *observer) memberChanged(m member.Member) {
--- a/daemon/views.go
+++ b/daemon/views.go
@@ -64,6 +64,19 @@
 	return emptySnapshot
 }
 
+// Behind reports whether a newer configuration is known to exist.
+func (v *configurationView) Behind(now time.Time) bool {
+	f := v.follower.Load()
+	return f != nil && f.Behind(now)
+}
+
+// ProvenNewest reports whether the configuration is known to be the newest one; see
+// revision.Follower.ProvenNewest.
+func (v *configurationView) ProvenNewest(now time.Time) bool {
+	f := v.follower.Load()
+	return f != nil && f.ProvenNewest(now)
+}
+
 // Ready returns nil if the daemon takes requests (Daemon.Ready tells the platform whether to
 // send any), or else the reason, which wraps ingress.ErrNotReady. If it wraps
 // revision.ErrIsolated too, the daemon refuses only requests with a key. A daemon that is
--- a/guard/check.go
+++ b/guard/check.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"berylpass/config/route"
 	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
 	"berylpass/hop"
@@ -27,6 +28,9 @@
 	// ReasonNoHolder means that no holder of the organisation's limit could be reached, or that
 	// the organisation has no limit. The value is older than the name.
 	ReasonNoHolder = "no-lease"
+	// ReasonOutdated means that the guard's configuration doesn't allow the request, and that the
+	// ingress has a newer one, which the guard hasn't received yet.
+	ReasonOutdated = "configuration-outdated"
 	ReasonShed     = "backend-shed"
 	// ReasonRetryBudget means that the retry budget of a service that the attempt would
 	// call again is used up.
@@ -48,12 +52,12 @@
 	if now.Sub(g.started).Milliseconds() >= e.Expires {
 		return ReasonExpired
 	}
-	route, ok := s.Routes[e.Route]
-	if !ok {
-		return ReasonNoRoute
+	route, reason := permitted(s, e)
+	if reason != reasonNone && s.Revision < e.Revision {
+		return ReasonOutdated
 	}
-	if !allowed(s, e, route.Open) {
-		return ReasonKeyWithdrawn
+	if reason != reasonNone {
+		return reason
 	}
 	if !s.InService(g.self.Datacentre) {
 		return ReasonOutOfService
@@ -70,6 +74,19 @@
 	return reasonNone
 }
 
+// permitted returns the route of a request, and why the configuration doesn't permit the
+// request on any VM, or reasonNone.
+func permitted(s snapshot.Snapshot, e hop.Envelope) (route.Route, string) {
+	r, ok := s.Routes[e.Route]
+	switch {
+	case !ok:
+		return r, ReasonNoRoute
+	case !allowed(s, e, r.Open):
+		return r, ReasonKeyWithdrawn
+	}
+	return r, reasonNone
+}
+
 // allowed reports whether the key that came with the request is in force for
 // its organisation, or no key is needed.
 func allowed(s snapshot.Snapshot, e hop.Envelope, open bool) bool {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -82,6 +82,8 @@
 	AttemptHandled(s AttemptRecord)
 	// HeartbeatIgnored is called when a backend server's heartbeat is rejected.
 	HeartbeatIgnored(b backend.Backend, reason string)
+	// HeardRevision is called with the configuration revision in each forwarded request.
+	HeardRevision(revision uint64, from member.ID)
 	// LoadChanged is called when the guard's measurements of a backend server have changed so
 	// much that the ingresses should receive them.
 	LoadChanged(id backend.ID, r report.Report)
--- /dev/null
+++ b/guard/outdated_test.go
@@ -0,0 +1,95 @@
+package guard
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"berylpass/attempt/id"
+	"berylpass/config/class"
+	"berylpass/config/datacentre"
+	"berylpass/config/organisation"
+	"berylpass/config/route"
+	"berylpass/config/service"
+	"berylpass/config/snapshot"
+	"berylpass/fleet/backend"
+	"berylpass/fleet/member"
+	"berylpass/hop"
+	"berylpass/leg"
+	"berylpass/limit/enforcer"
+)
+
+// withoutNewKey is a configuration of revision 1 in which the organisation "library" has no
+// key. Its route "reserve" needs one.
+type withoutNewKey struct{}
+
+func (withoutNewKey) Current() snapshot.Snapshot {
+	return snapshot.New(1).WithDatacentre(datacentre.New("srem", "wielkopolska")).WithService(service.New("rounds")).
+		WithOrganisation(organisation.New("library")).
+		WithRoute(route.New("reserve", "rounds").WithMatch("", "/reserve")).Index()
+}
+
+// exhausted is a Limit that has no token.
+type exhausted struct{ unlimited }
+
+func (exhausted) Draw(_ context.Context, name string) (enforcer.Token, error) {
+	return enforcer.Token{}, &enforcer.Refusal{Organisation: name, Reason: enforcer.ErrOverLimit}
+}
+
+// revisionRecorder records the revisions that were heard.
+type revisionRecorder struct {
+	stateRecorder
+	heard []string
+}
+
+func (r *revisionRecorder) HeardRevision(revision uint64, from member.ID) {
+	r.heard = append(r.heard, fmt.Sprintf("%d from %s", revision, from))
+}
+
+// TestOutdatedGuardSaysSo guards against a guard that refuses a request for the whole fleet
+// by a configuration older than the ingress's, as after a cut or a pause.
+func TestOutdatedGuardSaysSo(t *testing.T) {
+	observer := &revisionRecorder{stateRecorder: stateRecorder{states: map[backend.ID]backend.State{}}}
+	g := New(member.New("vm-1", "srem").WithIncarnation(1), Parts{
+		Configuration: withoutNewKey{}, Observer: observer, Leg: &hookLeg{duringConnect: func() {}}, Limit: exhausted{},
+	})
+	defer g.Close()
+	g.Heartbeat(backend.New("i-1", "rounds", "vm-1").WithAddress("10.0.0.1:80").WithSlots(4).WithIncarnation(1), 1, 0)
+	for n, test := range []struct {
+		route, organisation string
+		revision            uint64
+		want                string
+	}{
+		{"reserve", "library", 1, ReasonKeyWithdrawn},
+		{"reserve", "library", 2, ReasonOutdated},
+		{"new-route", "", 1, ReasonNoRoute},
+		{"new-route", "", 2, ReasonOutdated},
+	} {
+		e := hop.Envelope{
+			Attempt: id.New("vm-2", 1, uint64(n)), Backend: "i-1", Incarnation: 1, Route: test.route,
+			Organisation: test.organisation, KeyID: "k1", Revision: test.revision, Expires: 5000, Class: class.Reservation,
+		}
+		_, got := g.Run(context.Background(), e, leg.Request{Method: "POST", Target: "/"})
+		if got.Ending != hop.NotRun || got.Reason != test.want {
+			t.Errorf("%s at revision %d: ending %s, reason %s; want %s, %s", test.route, test.revision, got.Ending, got.Reason, hop.NotRun, test.want)
+		}
+	}
+	if want := "2 from vm-2"; len(observer.heard) != 4 || observer.heard[1] != want {
+		t.Errorf("heard revisions %q, want the second to be %q", observer.heard, want)
+	}
+}
+
+// TestOutdatedGuardDoesNotRefuseByItsLimits guards against a 429 by a guard that hasn't
+// received a raised limit yet.
+func TestOutdatedGuardDoesNotRefuseByItsLimits(t *testing.T) {
+	g := New(member.New("vm-1", "srem").WithIncarnation(1), Parts{
+		Configuration: twoRoutes{}, Observer: &stateRecorder{states: map[backend.ID]backend.State{}}, Limit: exhausted{},
+	})
+	defer g.Close()
+	_, err := g.token(context.Background(), hop.Envelope{Organisation: "library"})
+	for revision, want := range map[uint64]string{1: ReasonOverLimit, 2: ReasonOutdated} {
+		if got := g.refusalOf(err, hop.Envelope{Revision: revision}); got.reason != want || got.ending != hop.NotRun {
+			t.Errorf("at revision %d: reason %s, want %s", revision, got.reason, want)
+		}
+	}
+}
--- a/guard/registry_test.go
+++ b/guard/registry_test.go
@@ -25,6 +25,7 @@
 func (r *stateRecorder) Refused(string)                           {}
 func (r *stateRecorder) AttemptHandled(AttemptRecord)             {}
 func (r *stateRecorder) HeartbeatIgnored(backend.Backend, string) {}
+func (r *stateRecorder) HeardRevision(uint64, member.ID)          {}
 func (r *stateRecorder) LoadChanged(backend.ID, report.Report)    {}
 
 // noConfiguration is a configuration before the first revision.
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -62,6 +62,7 @@
 // serve admits one attempt, waits for the gate's decision and runs it.
 func (g *Guard) serve(ctx context.Context, e hop.Envelope, r leg.Request) result {
 	now := g.Clock()
+	g.Observer.HeardRevision(e.Revision, e.Attempt.Ingress)
 	remaining := g.started.Add(milliseconds(e.Expires)).Sub(now)
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
@@ -88,7 +89,7 @@
 	token, err := g.token(ctx, a.envelope)
 	if err != nil {
 		g.finish(g.Clock(), a, false, release)
-		return refusalOf(err)
+		return g.refusalOf(err, a.envelope)
 	}
 	start := g.Clock()
 	r.NotAfter = token.expires
--- a/guard/token.go
+++ b/guard/token.go
@@ -47,7 +47,7 @@
 
 // refusalOf returns the result of an attempt that got no token. enforcer.ErrClosed counts as
 // over limit; the ingress counts it as no-lease.
-func refusalOf(err error) result {
+func (g *Guard) refusalOf(err error, e hop.Envelope) result {
 	res := result{ending: hop.NotRun, reason: ReasonOverLimit}
 	var refusal *enforcer.Refusal
 	if errors.As(err, &refusal) {
@@ -56,5 +56,8 @@
 	if errors.Is(err, enforcer.ErrNoHolder) {
 		res.reason = ReasonNoHolder
 	}
+	if g.Configuration.Current().Revision < e.Revision {
+		res.reason = ReasonOutdated
+	}
 	return res
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -208,16 +208,19 @@
 			Attempt:    s.number,
 			Reason:     r.Reason,
 			RetryAfter: r.RetryAfter,
-			Everywhere: refusedEverywhere(r.Reason),
+			Everywhere: refusedEverywhere(r, s.envelope.Revision),
 		}
 	}
 	return lifecycle.Answered{Attempt: s.number, ID: r.Attempt, Status: s.answer.Status}
 }
 
-// refusedEverywhere reports whether every other guard would refuse for the same reason.
-func refusedEverywhere(reason string) bool {
-	switch reason {
-	case guard.ReasonKeyWithdrawn, guard.ReasonNoRoute, guard.ReasonOverLimit, guard.ReasonNoHolder, guard.ReasonExpired:
+// refusedEverywhere reports whether every other guard would refuse for the same reason. A guard
+// whose configuration is below the revision that this ingress used doesn't decide for others.
+func refusedEverywhere(r hop.Report, revision uint64) bool {
+	switch r.Reason {
+	case guard.ReasonKeyWithdrawn, guard.ReasonNoRoute, guard.ReasonOverLimit, guard.ReasonNoHolder:
+		return r.Revision >= revision
+	case guard.ReasonExpired:
 		return true
 	}
 	return false
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -35,10 +36,13 @@
 
 // Configuration holds the snapshot in force. Ready returns nil if the daemon may take
 // requests, and otherwise the reason why not; an error that wraps revision.ErrIsolated
-// still allows requests on open routes.
+// still allows requests on open routes. Behind reports whether a newer configuration is known
+// to exist, and ProvenNewest whether it is certain that none has been accepted for long.
 type Configuration interface {
 	Current() snapshot.Snapshot
 	Ready(now time.Time) error
+	Behind(now time.Time) bool
+	ProvenNewest(now time.Time) bool
 }
 
 // Chooser chooses backend servers and learns the outcomes of attempts on them. AttemptStarted is
@@ -236,7 +240,7 @@
 	x.snapshot = i.Configuration.Current()
 	matched, err := x.snapshot.Route(r.Method, hostname(r.Host), r.URL.Path)
 	if err != nil {
-		return x, err
+		return x, i.denial(now, err)
 	}
 	x.route, x.service = matched, matched.ServiceFor(i.Random())
 	x.deadline = now.Add(matched.Deadline)
@@ -250,7 +254,7 @@
 		return x, infoErr
 	}
 	if err := x.identify(); err != nil {
-		return x, err
+		return x, i.denial(now, err)
 	}
 	if targetContainsKey(r.URL, info.Key) {
 		return x, errKeyInURL
@@ -269,6 +273,16 @@
 	return x, nil
 }
 
+// denial returns the error for a request that the configuration doesn't allow. Callers don't
+// repeat a request that was denied, so a daemon that may have missed a newer configuration must
+// not deny it.
+func (i *Ingress) denial(now time.Time, err error) error {
+	if i.Configuration.ProvenNewest(now) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errOutdated, err)
+}
+
 // identify finds the organisation whose key came with the request, and sets the class of
 // the request. Open routes need no key.
 func (x *exchange) identify() error {
--- a/ingress/reply.go
+++ b/ingress/reply.go
@@ -128,6 +128,8 @@
 		{errTwoKeys, http.StatusBadRequest, "two-keys"},
 		{errBody, http.StatusBadRequest, "body-unreadable"},
 		{ErrNotReady, http.StatusServiceUnavailable, "not-ready"},
+		// errOutdated wraps one of the errors above and so must come after them.
+		{errOutdated, http.StatusServiceUnavailable, guard.ReasonOutdated},
 	} {
 		if errors.Is(err, known.err) {
 			f.Status, f.Reason = known.status, known.reason
--- a/ingress/trial_test.go
+++ b/ingress/trial_test.go
@@ -26,7 +26,9 @@
 // fixedConfiguration is a Configuration with one open, repeatable route.
 type fixedConfiguration struct{}
 
-func (fixedConfiguration) Ready(time.Time) error { return nil }
+func (fixedConfiguration) Ready(time.Time) error       { return nil }
+func (fixedConfiguration) Behind(time.Time) bool       { return false }
+func (fixedConfiguration) ProvenNewest(time.Time) bool { return true }
 func (fixedConfiguration) Current() snapshot.Snapshot {
 	return snapshot.New(1).WithService(service.New("rounds")).
 		WithRoute(route.New("status", "rounds").WithMatch("", "/").WithOpen(true).WithRepeatable(true).WithMaxAttempts(2).WithDeadline(5 * time.Second)).Index()
