A departure is acknowledged only once it is kept

What callers saw: a backend server left while the store was down, and its daemon acknowledged that. The daemon was killed and started again, and a heartbeat from before the departure arrived late.

Change: fleet/departure/keeper stores a departure and copies it to up to four other daemons at once. It is acknowledged when it is stored or two of them have it; else the answer is 503, and the backend server gets no new requests all the same. What is only copied is stored when the store answers. A daemon that starts asks the store and the holders of the copies. The same cause on related paths: a repeated "draining" was acknowledged though the first one had not been kept; one of a service that the configuration doesn't have was acknowledged and ignored; a departure that names no start was in memory only.

Ruled out: the order of heartbeats (fleet/instance knows nothing of the process after the restart, as it should), the spread of the removal by gossip (other daemons drop what an earlier run of a daemon has announced). Considered: no acknowledgement while the store is away. No backend server could then leave in order for hours.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"berylpass/config/settings"
 	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
+	"berylpass/fleet/departure/keeper"
 	"berylpass/fleet/directory"
 	"berylpass/fleet/member"
 	"berylpass/fleet/membership"
@@ -69,7 +70,9 @@
 	live        map[member.ID]bool
 	liveDaemons atomic.Int64
 	// departures is nil unless the daemon speaks the platform's dialect.
-	departures *departureRecorder
+	departures *keeper.Keeper
+	// recovery is nil until it has been started, and in berylpass's own dialect.
+	recovery atomic.Pointer[departureRecovery]
 	ingress    *ingress.Ingress
 	// startedIngress is ingress once that exists, nil before. Parts that start before the ingress use it.
 	startedIngress atomic.Pointer[ingress.Ingress]
--- a/daemon/departures.go
+++ b/daemon/departures.go
@@ -6,92 +6,161 @@
 	"sync"
 	"time"
 
-	"berylpass/fleet/backend"
+	"berylpass/decision"
 	"berylpass/fleet/departure"
+	"berylpass/fleet/departure/keeper"
+	"berylpass/fleet/departure/recovery"
+	"berylpass/fleet/member"
 	"berylpass/guard"
 	"berylpass/monitor/event"
 	"berylpass/store/observed"
 )
 
-// departureTimeout bounds a read or a write of the list of departures. It is below
-// one second because the guard answers a heartbeat only after the write, and a backend server
-// regards the heartbeat as acknowledged only if the answer comes within a second.
-const departureTimeout = 500 * time.Millisecond
-
-// If the list can't be read at the start, the read is retried with exponential
-// back-off from departureRetry to maxDepartureRetry. Each pause is multiplied by a
-// random factor from 0.5 to 1.5, since many daemons may start while the store is
-// unavailable.
-const (
-	departureRetry    = time.Second
-	maxDepartureRetry = 8 * time.Second
-)
+// recoveryTick is the time between two recovery.Tick events.
+const recoveryTick = 100 * time.Millisecond
 
-// departureRecorder stores the departures of the backend servers on this VM, so that
-// the daemon still knows them after a crash.
-type departureRecorder struct {
-	daemon *Daemon
-	list   *departure.List
-}
-
-// newDepartures returns the recorder of departures, or nil in berylpass's own
-// dialect: there a backend server announces itself once, without heartbeats that
-// could arrive after its departure.
+// newDepartures returns the keeper of the departures of the backend servers on this VM, or nil
+// in berylpass's own dialect: there a backend server announces itself once, without heartbeats
+// that could arrive after its departure.
 func (d *Daemon) newDepartures(store *observed.Store) guard.Departures {
 	if !d.onPlatform() {
 		return nil
 	}
-	d.departures = &departureRecorder{daemon: d, list: departure.New(store, d.self.ID, d.clock)}
+	d.departures = keeper.New(keeper.Parts{
+		Self: d.self.ID, Store: store, Fleet: &d.fleet, Caller: d.mesh, Clock: d.clock, Observer: departureObserver{daemon: d},
+	})
+	d.onClose(d.departures.Close)
 	return d.departures
 }
 
-// loadDepartures passes the departures that were acknowledged before this start to
-// the guard, at once or as soon as the store answers.
-func (d *Daemon) loadDepartures() {
-	if d.departures == nil || d.departures.load(context.Background()) {
+// departureObserver logs how departures are kept.
+type departureObserver struct{ daemon *Daemon }
+
+// DepartureNotStored implements keeper.Observer.
+func (o departureObserver) DepartureNotStored(p departure.Process, err error) {
+	event.DepartureNotStored.Log(&o.daemon.logger).Str("backend", string(p.ID)).Uint64("incarnation", p.Incarnation).Err(err).Send()
+}
+
+// DepartureNotKept implements keeper.Observer.
+func (o departureObserver) DepartureNotKept(p departure.Process, err error) {
+	event.DepartureNotKept.Log(&o.daemon.logger).Str("backend", string(p.ID)).Uint64("incarnation", p.Incarnation).Err(err).Send()
+}
+
+// departureRecovery carries out the actions of a recovery.Recovery until that is done.
+type departureRecovery struct {
+	daemon *Daemon
+	ctx    context.Context
+	wait   sync.WaitGroup
+
+	mu       sync.Mutex
+	recovery *recovery.Recovery
+}
+
+// recoverDepartures learns the departures that earlier runs of the daemon have acknowledged and
+// passes them to the guard, in the background.
+func (d *Daemon) recoverDepartures() {
+	if d.departures == nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	var wait sync.WaitGroup
-	wait.Go(func() {
-		pause := departureRetry
-		for {
-			select {
-			case <-time.After(pause/2 + rand.N(pause)):
-			case <-ctx.Done():
-				return
-			}
-			if d.departures.load(ctx) {
-				return
-			}
-			pause = min(2*pause, maxDepartureRetry)
-		}
-	})
+	r := &departureRecovery{
+		daemon: d, ctx: ctx,
+		recovery: recovery.New(d.clock(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+	}
+	d.recovery.Store(r)
+	r.wait.Go(r.loop)
 	d.onClose(func() {
+		r.mu.Lock()
 		cancel()
-		wait.Wait()
+		r.mu.Unlock()
+		r.wait.Wait()
 	})
 }
 
-// load passes the stored departures to the guard and reports whether they could be read.
-func (r *departureRecorder) load(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
-	defer cancel()
-	known, err := r.list.Load(ctx)
+// loop sends ticks to the recovery until it is done.
+func (r *departureRecovery) loop() {
+	ticker := time.NewTicker(recoveryTick)
+	defer ticker.Stop()
+	for !r.done() {
+		// RecordsRead is called first: if the records are read between the two calls, the fleet
+		// must not look like one without peers.
+		recordsRead := r.daemon.fleet.RecordsRead()
+		r.update(recovery.Tick{Peers: r.peers(), RecordsRead: recordsRead})
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *departureRecovery) done() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recovery.Done()
+}
+
+// peers returns the other daemons that are not dead.
+func (r *departureRecovery) peers() []member.ID {
+	var peers []member.ID
+	for _, m := range r.daemon.fleet.Members() {
+		if m.ID != r.daemon.self.ID && m.State != member.Dead {
+			peers = append(peers, m.ID)
+		}
+	}
+	return peers
+}
+
+// update passes an event to the recovery and carries out the resulting actions, unless the
+// daemon is closing.
+func (r *departureRecovery) update(e decision.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ctx.Err() != nil {
+		return
+	}
+	for _, action := range r.recovery.Update(r.daemon.clock(), e) {
+		switch a := action.(type) {
+		case recovery.ReadList:
+			r.wait.Go(r.readList)
+		case recovery.Recall:
+			r.wait.Go(func() { r.recall(a.From) })
+		}
+	}
+}
+
+// readList reads the departures from the store.
+func (r *departureRecovery) readList() {
+	processes, err := r.daemon.departures.Load(r.ctx)
+	r.restore(processes)
 	if err != nil {
 		event.DeparturesUnread.Log(&r.daemon.logger).Err(err).Send()
+		r.update(recovery.ListFailed{})
+		return
 	}
-	for _, p := range known {
-		r.daemon.guard.RecordDeparture(p.ID, p.Incarnation)
+	r.update(recovery.ListRead{})
+}
+
+// recall asks a peer for the copies of the departures.
+func (r *departureRecovery) recall(from member.ID) {
+	copies, err := r.daemon.departures.Recall(r.ctx, from)
+	r.restore(copies.Processes)
+	r.update(recovery.Recalled{Complete: err == nil && copies.Complete})
+}
+
+// restore passes departures to the guard.
+func (r *departureRecovery) restore(processes []departure.Process) {
+	for _, p := range processes {
+		r.daemon.guard.RestoreDeparture(p.ID, p.Incarnation, time.UnixMilli(p.StoredAt))
 	}
-	return err == nil
 }
 
-// Add implements guard.Departures. It logs its errors.
-func (r *departureRecorder) Add(id backend.ID, incarnation uint64) {
-	ctx, cancel := context.WithTimeout(context.Background(), departureTimeout)
-	defer cancel()
-	if err := r.list.Add(ctx, departure.Process{ID: id, Incarnation: incarnation}); err != nil {
-		event.DepartureNotKept.Log(&r.daemon.logger).Str("backend", string(id)).Uint64("incarnation", incarnation).Err(err).Send()
+// storeAnswered tells the parts that keep departures that the store answers.
+func (d *Daemon) storeAnswered() {
+	if d.departures != nil {
+		d.departures.StoreAnswered()
+	}
+	if r := d.recovery.Load(); r != nil && !r.done() {
+		r.update(recovery.StoreAnswered{})
 	}
 }
--- a/daemon/monitor.go
+++ b/daemon/monitor.go
@@ -90,10 +90,12 @@
 	}
 }
 
-// storeChanged logs that the platform's store has stopped answering or answers again.
+// storeChanged logs that the platform's store has stopped answering or answers again. It is
+// called on the goroutine of the call that found it, which may hold locks.
 func (d *Daemon) storeChanged(available bool) {
 	if available {
 		event.StoreBack.Log(&d.logger).Send()
+		go d.storeAnswered()
 		return
 	}
 	event.StoreUnavailable.Log(&d.logger).Send()
--- a/daemon/receiver_test.go
+++ b/daemon/receiver_test.go
@@ -11,6 +11,7 @@
 // receiverFiles are the files with methods that other daemons call by net/rpc.
 var receiverFiles = []string{
 	"notice.go", "../config/revision/receiver.go", "../guard/receiver.go", "../fleet/membership/receiver.go", "../limit/enforcer/receiver.go",
+	"../fleet/departure/keeper/receiver.go",
 }
 
 // TestCalledMethodsRecover checks that each method that serves calls defers mesh.Recover first. Without it, one message
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -16,6 +16,7 @@
 	"berylpass/config/revision"
 	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
+	"berylpass/fleet/departure/keeper"
 	"berylpass/fleet/directory"
 	"berylpass/fleet/member"
 	"berylpass/fleet/membership"
@@ -110,7 +111,7 @@
 		LastFailedCall: d.lastFailedCall,
 	})
 	d.onClose(d.guard.Close)
-	d.loadDepartures()
+	d.recoverDepartures()
 }
 
 func (d *Daemon) startDataPort() error {
@@ -182,6 +183,12 @@
 			return fmt.Errorf("register %s: %w", r.name, err)
 		}
 	}
+	if d.departures == nil {
+		return nil
+	}
+	if err := d.mesh.Register(keeper.ServiceName, d.departures.Receiver()); err != nil {
+		return fmt.Errorf("register %s: %w", keeper.ServiceName, err)
+	}
 	return nil
 }
 
--- a/fleet/departure/departure.go
+++ b/fleet/departure/departure.go
@@ -30,9 +30,9 @@
 const (
 	// keyPrefix is the prefix of the store keys; the daemon's ID follows it.
 	keyPrefix = "departures/"
-	// maxAge is the age above which a write drops a process from the list. Heartbeats are
+	// MaxAge is the age above which a write drops a process from the list. Heartbeats are
 	// late by seconds, and a process that leaves is gone within minutes.
-	maxAge = 10 * time.Minute
+	MaxAge = 10 * time.Minute
 	// maxProcesses is the maximum number of processes in a list, many times the number
 	// of slots of a VM.
 	maxProcesses = 256
@@ -49,13 +49,18 @@
 
 // Process is one run of a backend server that has announced that it drains or leaves.
 type Process struct {
-	ID          backend.ID `json:"id"`
-	Incarnation uint64     `json:"incarnation"`
-	// StoredAt is the time at which Add stored the process, in Unix milliseconds of the VM's
-	// clock.
+	ID backend.ID `json:"id"`
+	// Incarnation is 0 if the announcement stated none and the process was unknown.
+	Incarnation uint64 `json:"incarnation"`
+	// StoredAt is the time of the announcement, in Unix milliseconds of the VM's clock.
 	StoredAt int64 `json:"at"`
 }
 
+// Same reports whether p and other are the same process.
+func (p Process) Same(other Process) bool {
+	return p.ID == other.ID && p.Incarnation == other.Incarnation
+}
+
 // List is the list of departed processes of one VM. It is safe for concurrent use.
 type List struct {
 	store Store
@@ -82,8 +87,9 @@
 	return slices.Clone(l.processes), err
 }
 
-// Add adds a process to the list and sets its time. If the list already contains the
-// process, it writes nothing.
+// Add adds a process to the list and sets its time unless it has one. If the list already
+// contains the process, it writes nothing, except for one without an incarnation, of which the
+// latest time counts.
 func (l *List) Add(ctx context.Context, p Process) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -94,7 +100,7 @@
 				return err
 			}
 		}
-		if l.contains(p) {
+		if p.Incarnation != 0 && l.contains(p) {
 			return nil
 		}
 		if err = l.write(ctx, p); err == nil {
@@ -107,7 +113,7 @@
 
 func (l *List) contains(p Process) bool {
 	return slices.ContainsFunc(l.processes, func(k Process) bool {
-		return k.ID == p.ID && k.Incarnation == p.Incarnation
+		return k.Same(p)
 	})
 }
 
@@ -132,9 +138,15 @@
 
 func (l *List) write(ctx context.Context, p Process) error {
 	now := l.clock()
-	p.StoredAt = now.UnixMilli()
+	if p.StoredAt == 0 {
+		p.StoredAt = now.UnixMilli()
+	}
 	processes := slices.DeleteFunc(slices.Clone(l.processes), func(k Process) bool {
-		return now.Sub(time.UnixMilli(k.StoredAt)) > maxAge
+		if k.Same(p) {
+			p.StoredAt = max(p.StoredAt, k.StoredAt)
+			return true
+		}
+		return now.Sub(time.UnixMilli(k.StoredAt)) > MaxAge
 	})
 	processes = append(processes, p)
 	processes = processes[max(0, len(processes)-maxProcesses):]
--- a/fleet/departure/departure_test.go
+++ b/fleet/departure/departure_test.go
@@ -90,7 +90,7 @@
 }
 
 // TestOldDeparturesAreDropped checks that the list is bounded by maxProcesses and
-// maxAge.
+// MaxAge.
 func TestOldDeparturesAreDropped(t *testing.T) {
 	ctx := context.Background()
 	now := time.Unix(1_700_000_000, 0)
@@ -103,11 +103,11 @@
 	if known, _ := d.Load(ctx); len(known) != maxProcesses || known[0].ID != "i-10" {
 		t.Errorf("%d processes, the first %v, want the last ones added", len(known), known[0])
 	}
-	now = now.Add(maxAge + time.Second)
+	now = now.Add(MaxAge + time.Second)
 	if err := d.Add(ctx, Process{ID: "late", Incarnation: 1}); err != nil {
 		t.Fatal(err)
 	}
 	if known, _ := d.Load(ctx); len(known) != 1 {
-		t.Errorf("%d processes after %v, want 1", len(known), maxAge)
+		t.Errorf("%d processes after %v, want 1", len(known), MaxAge)
 	}
 }
--- /dev/null
+++ b/fleet/departure/keeper/keeper.go
@@ -0,0 +1,275 @@
+// Package keeper keeps the departures that one daemon acknowledges, so that the daemon still
+// knows them after a crash: in the platform's store and, as copies, at other daemons. Either is
+// enough for the acknowledgement, so backend servers can leave in order while the store is
+// unavailable. A departure that is only copied is stored as soon as the store answers.
+//
+// A Keeper also holds copies for other daemons, and passes on what a daemon that has restarted
+// asks of the fleet.
+//
+// # Usage
+//
+//	k := keeper.New(keeper.Parts{Self: "vm-17", Store: store, Fleet: members, Caller: mesh, Clock: time.Now, Observer: o})
+//	mesh.Register(keeper.ServiceName, k.Receiver())
+//	err := k.Add("rounds-3", 1700000000000) // acknowledge the departure only if err is nil
+//	processes, err := k.Load(ctx)           // after a restart: from the store
+//	copies, err := k.Recall(ctx, "vm-4")    // and from the other daemons
+//	k.Close()
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"berylpass/fleet/backend"
+	"berylpass/fleet/departure"
+	"berylpass/fleet/departure/holder"
+	"berylpass/fleet/departure/replica"
+	"berylpass/fleet/member"
+)
+
+const (
+	// keepTimeout bounds Add. It is below one second because a backend server regards its
+	// message as acknowledged only if the answer comes within a second.
+	keepTimeout = 500 * time.Millisecond
+	// loadTimeout bounds one read of a list in the store.
+	loadTimeout = 500 * time.Millisecond
+	// holderTimeout bounds the call of one holder on behalf of another daemon.
+	holderTimeout = 400 * time.Millisecond
+	// recallTimeout bounds Recall. A peer that passes the call on takes up to holderTimeout or
+	// loadTimeout.
+	recallTimeout = time.Second
+	// minStorePause and maxStorePause bound the exponential back-off between attempts to store
+	// what is only copied. Each pause is multiplied by a random factor from 0.5 to 1.5.
+	minStorePause = time.Second
+	maxStorePause = 8 * time.Second
+	// maxRemembered bounds the departures that are remembered as kept.
+	maxRemembered = 256
+)
+
+// ErrNotKept means that a departure was neither stored nor copied to enough daemons, and must
+// not be acknowledged.
+var ErrNotKept = errors.New("departure was not kept")
+
+// Fleet is the part of the membership that a Keeper uses.
+type Fleet interface {
+	Members() []member.Member
+}
+
+// Caller calls methods of other daemons.
+type Caller interface {
+	Call(ctx context.Context, to member.ID, method string, args, reply any) error
+}
+
+// Observer is told how departures are kept. Its methods must not block.
+type Observer interface {
+	// DepartureNotStored is called when a departure could not be stored; it may still be copied.
+	DepartureNotStored(p departure.Process, err error)
+	// DepartureNotKept is called when Add fails.
+	DepartureNotKept(p departure.Process, err error)
+}
+
+// Parts holds the dependencies of a Keeper.
+type Parts struct {
+	// Self is the ID of this daemon.
+	Self     member.ID
+	Store    departure.Store
+	Fleet    Fleet
+	Caller   Caller
+	Clock    func() time.Time
+	Observer Observer
+}
+
+// Keeper keeps departures. It is safe for concurrent use.
+type Keeper struct {
+	Parts
+	list          *departure.List
+	storeAnswered chan struct{}
+	ctx           context.Context
+	cancel        context.CancelFunc
+	wait          sync.WaitGroup
+
+	mu      sync.Mutex
+	replica *replica.Replica
+	// kept holds the latest departures that Add has kept, unstored those that are yet to be
+	// stored.
+	kept, unstored []departure.Process
+}
+
+// New returns a Keeper and starts its goroutine.
+func New(parts Parts) *Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &Keeper{
+		Parts: parts, list: departure.New(parts.Store, parts.Self, parts.Clock),
+		storeAnswered: make(chan struct{}, 1), ctx: ctx, cancel: cancel, replica: replica.New(),
+	}
+	k.wait.Go(func() {
+		failures := 0
+		for {
+			pause := min(minStorePause<<min(failures, 3), maxStorePause)
+			select {
+			case <-k.ctx.Done():
+				return
+			case <-k.storeAnswered:
+			case <-time.After(pause/2 + rand.N(pause)):
+			}
+			if k.storeRest() {
+				failures = 0
+			} else {
+				failures++
+			}
+		}
+	})
+	return k
+}
+
+// Close stops the keeper and waits for its goroutines.
+func (k *Keeper) Close() {
+	k.cancel()
+	k.wait.Wait()
+}
+
+// StoreAnswered tells the keeper that the store answers.
+func (k *Keeper) StoreAnswered() {
+	select {
+	case k.storeAnswered <- struct{}{}:
+	default:
+	}
+}
+
+// Add keeps the departure of a process; incarnation is 0 if it isn't known. It returns once the
+// departure is stored, or enough daemons have a copy. Otherwise its error wraps ErrNotKept. A
+// departure that was kept before costs no calls.
+func (k *Keeper) Add(id backend.ID, incarnation uint64) error {
+	p := departure.Process{ID: id, Incarnation: incarnation, StoredAt: k.Clock().UnixMilli()}
+	if k.isKept(p) {
+		return nil
+	}
+	plan := holder.New(k.Self, k.Fleet.Members())
+	ctx, cancel := context.WithTimeout(k.ctx, keepTimeout)
+	outcomes := k.send(ctx, cancel, p, plan.Holders())
+	copies := 0
+	var errs error
+	for range 1 + len(plan.Holders()) {
+		o := <-outcomes
+		if o.err != nil {
+			errs = errors.Join(errs, o.err)
+			continue
+		}
+		if !o.stored {
+			copies++
+		}
+		if o.stored || copies == plan.Copies() {
+			k.remember(p)
+			return nil
+		}
+	}
+	err := fmt.Errorf("%w: %w", ErrNotKept, errs)
+	k.Observer.DepartureNotKept(p, err)
+	return err
+}
+
+// outcome is the result of storing a departure, or of copying it to one holder.
+type outcome struct {
+	stored bool
+	err    error
+}
+
+// send stores a departure and copies it to the holders, all at once, and returns a channel that
+// receives each outcome. It calls done when all have ended.
+func (k *Keeper) send(ctx context.Context, done func(), p departure.Process, holders []member.ID) <-chan outcome {
+	outcomes := make(chan outcome, 1+len(holders))
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		err := k.list.Add(ctx, p)
+		if err != nil {
+			k.Observer.DepartureNotStored(p, err)
+			k.storeLater(p)
+		}
+		outcomes <- outcome{stored: true, err: err}
+	})
+	for _, id := range holders {
+		calls.Go(func() {
+			var kept bool
+			err := k.Caller.Call(ctx, id, keepMethod, Copy{Daemon: k.Self, Process: p}, &kept)
+			outcomes <- outcome{err: err}
+		})
+	}
+	k.wait.Go(func() {
+		calls.Wait()
+		done()
+	})
+	return outcomes
+}
+
+// isKept reports whether Add has kept the process before. One without an incarnation is kept
+// anew, since the latest time counts.
+func (k *Keeper) isKept(p departure.Process) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return p.Incarnation != 0 && slices.ContainsFunc(k.kept, p.Same)
+}
+
+func (k *Keeper) remember(p departure.Process) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.kept = append(k.kept, p)
+	k.kept = k.kept[max(0, len(k.kept)-maxRemembered):]
+}
+
+func (k *Keeper) storeLater(p departure.Process) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.unstored = append(slices.DeleteFunc(k.unstored, p.Same), p)
+	k.unstored = k.unstored[max(0, len(k.unstored)-maxRemembered):]
+}
+
+// storeRest stores the departures that are yet to be stored, until one fails. It reports
+// whether none remains.
+func (k *Keeper) storeRest() bool {
+	for {
+		k.mu.Lock()
+		if len(k.unstored) == 0 {
+			k.mu.Unlock()
+			return true
+		}
+		p := k.unstored[0]
+		k.mu.Unlock()
+		ctx, cancel := context.WithTimeout(k.ctx, keepTimeout)
+		err := k.list.Add(ctx, p)
+		cancel()
+		if err != nil {
+			return false
+		}
+		k.mu.Lock()
+		k.unstored = slices.DeleteFunc(k.unstored, p.Same)
+		k.mu.Unlock()
+	}
+}
+
+// Load reads the departures at this daemon from the store.
+func (k *Keeper) Load(ctx context.Context) ([]departure.Process, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	return k.list.Load(ctx)
+}
+
+// Recall returns the departures at this daemon of which other daemons have copies, by way of a
+// peer, which asks the holders. What is recalled is stored unless it is.
+func (k *Keeper) Recall(ctx context.Context, peer member.ID) (Copies, error) {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	var reply Copies
+	err := k.Caller.Call(ctx, peer, recallMethod, Query{Daemon: k.Self, PassOn: true}, &reply)
+	for _, p := range reply.Processes {
+		k.storeLater(p)
+	}
+	if len(reply.Processes) > 0 {
+		k.StoreAnswered()
+	}
+	return reply, err
+}
--- /dev/null
+++ b/fleet/departure/keeper/keeper_test.go
@@ -0,0 +1,226 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"berylpass/fleet/departure"
+	"berylpass/fleet/member"
+	"berylpass/store/memory"
+	"berylpass/store/object"
+)
+
+// network is the Fleet and the Caller of all keepers of a test, and their Observer.
+type network struct {
+	t       *testing.T
+	store   *memory.Store
+	mu      sync.Mutex
+	keepers map[member.ID]*Keeper
+	// cut holds the daemons that can't be called.
+	cut   map[member.ID]bool
+	calls int
+}
+
+var errCut = errors.New("daemon can't be reached")
+
+// newNetwork returns n daemons, vm-1 to vm-n, and their store.
+func newNetwork(t *testing.T, n int) *network {
+	f := &network{t: t, store: memory.New(), keepers: map[member.ID]*Keeper{}, cut: map[member.ID]bool{}}
+	for i := range n {
+		f.start(vm(i + 1))
+	}
+	return f
+}
+
+func vm(n int) member.ID { return member.ID(fmt.Sprint("vm-", n)) }
+
+// start starts a daemon, or starts it again without what it knew.
+func (f *network) start(id member.ID) *Keeper {
+	k := New(Parts{Self: id, Store: f.store, Fleet: f, Caller: f, Clock: time.Now, Observer: f})
+	f.t.Cleanup(k.Close)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keepers[id] = k
+	return k
+}
+
+// setCut sets whether a daemon can be called.
+func (f *network) setCut(id member.ID, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[id] = cut
+}
+
+func (f *network) callsMade() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+func (f *network) Members() []member.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var members []member.Member
+	for id := range f.keepers {
+		members = append(members, member.New(id, "srem"))
+	}
+	return members
+}
+
+func (f *network) Call(_ context.Context, to member.ID, method string, args, reply any) error {
+	f.mu.Lock()
+	f.calls++
+	k, cut := f.keepers[to], f.cut[to]
+	f.mu.Unlock()
+	if k == nil || cut {
+		return errCut
+	}
+	if method == keepMethod {
+		return k.Receiver().Keep(args.(Copy), reply.(*bool))
+	}
+	return k.Receiver().Recall(args.(Query), reply.(*Copies))
+}
+
+func (f *network) DepartureNotStored(departure.Process, error) {}
+func (f *network) DepartureNotKept(departure.Process, error)   {}
+
+// recalled returns what the daemon vm-1 learns by way of a peer after a restart.
+func (f *network) recalled(by member.ID) Copies {
+	copies, err := f.start("vm-1").Recall(context.Background(), by)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return copies
+}
+
+// awaitStored waits until the list of vm-1 in the store is as wanted.
+func (f *network) awaitStored(what string, wanted func([]departure.Process) bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		stored, err := departure.New(f.store, "vm-1", time.Now).Load(context.Background())
+		if err == nil && wanted(stored) {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("stored %v, %v; want %s", stored, err, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestAcknowledgedDepartureSurvivesARestartWithoutStore guards against a departure that is
+// acknowledged while the store is unavailable and forgotten at a restart: every peer must be
+// able to tell of it, even after the loss of one that has a copy.
+func TestAcknowledgedDepartureSurvivesARestartWithoutStore(t *testing.T) {
+	f := newNetwork(t, 7)
+	f.store.SetFaults(memory.Faults{Unavailable: true})
+	if err := f.keepers["vm-1"].Add("i-1", 42); err != nil {
+		t.Fatalf("the departure isn't kept: %v", err)
+	}
+	for lost := 2; lost <= 7; lost++ {
+		f.setCut(vm(lost), true)
+		for peer := 2; peer <= 7; peer++ {
+			if peer == lost {
+				continue
+			}
+			got := f.recalled(vm(peer))
+			if !got.Complete || len(got.Processes) != 1 || got.Processes[0].ID != "i-1" || got.Processes[0].Incarnation != 42 {
+				t.Errorf("without vm-%d, vm-%d tells %+v, want incarnation 42 of i-1", lost, peer, got)
+			}
+		}
+		f.setCut(vm(lost), false)
+	}
+}
+
+// TestDepartureThatNobodyKeepsIsNotAcknowledged guards against the acknowledgement of a
+// departure that only the process itself knows of.
+func TestDepartureThatNobodyKeepsIsNotAcknowledged(t *testing.T) {
+	f := newNetwork(t, 3)
+	f.store.SetFaults(memory.Faults{Unavailable: true})
+	f.setCut("vm-2", true)
+	k := f.keepers["vm-1"]
+	if err := k.Add("i-1", 42); !errors.Is(err, ErrNotKept) || !errors.Is(err, object.ErrUnavailable) || !errors.Is(err, errCut) {
+		t.Errorf("with one copy of two: %v, want ErrNotKept and the causes", err)
+	}
+	f.setCut("vm-2", false)
+	if err := k.Add("i-1", 42); err != nil {
+		t.Errorf("repeated, with both peers: %v", err)
+	}
+	f.store.SetFaults(memory.Faults{})
+	for _, id := range []member.ID{"vm-2", "vm-3"} {
+		f.setCut(id, true)
+	}
+	if err := k.Add("i-2", 43); err != nil {
+		t.Errorf("with the store only: %v", err)
+	}
+}
+
+// TestCopiedDepartureIsStoredLater checks that a departure which only other daemons have is
+// stored when the store answers again, also by a daemon that has restarted in the meantime.
+func TestCopiedDepartureIsStoredLater(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		f := newNetwork(t, 3)
+		f.store.SetFaults(memory.Faults{Unavailable: true})
+		k := f.keepers["vm-1"]
+		if err := k.Add("i-1", 42); err != nil {
+			t.Fatal(err)
+		}
+		if restarted {
+			k.Close()
+			k = f.start("vm-1")
+			if _, err := k.Recall(context.Background(), "vm-2"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f.store.SetFaults(memory.Faults{})
+		k.StoreAnswered()
+		f.awaitStored("incarnation 42 of i-1", func(stored []departure.Process) bool {
+			return len(stored) == 1 && stored[0].Incarnation == 42
+		})
+	}
+}
+
+// TestRepeatedDepartureCostsNoCalls checks that a backend server that repeats that it drains
+// causes no further calls.
+func TestRepeatedDepartureCostsNoCalls(t *testing.T) {
+	f := newNetwork(t, 3)
+	k := f.keepers["vm-1"]
+	for range 5 {
+		if err := k.Add("i-1", 42); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.awaitStored("one departure", func(stored []departure.Process) bool { return len(stored) == 1 })
+	k.Close()
+	if calls := f.callsMade(); calls != 2 {
+		t.Errorf("%d calls of peers, want one of each", calls)
+	}
+	if counts := f.store.Counts(); counts.Puts != 1 {
+		t.Errorf("%d writes, want 1", counts.Puts)
+	}
+}
+
+// TestDepartureWithoutIncarnationKeepsItsTime checks that a departure which states no
+// incarnation is kept with the time of its latest announcement.
+func TestDepartureWithoutIncarnationKeepsItsTime(t *testing.T) {
+	f := newNetwork(t, 3)
+	var now atomic.Int64
+	now.Store(1_700_000_000_000)
+	k := New(Parts{Self: "vm-1", Store: f.store, Fleet: f, Caller: f, Clock: func() time.Time { return time.UnixMilli(now.Load()) }, Observer: f})
+	for range 2 {
+		now.Add(time.Minute.Milliseconds())
+		if err := k.Add("i-1", 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	defer k.Close()
+	f.awaitStored("one departure with the time of the second announcement", func(stored []departure.Process) bool {
+		return len(stored) == 1 && stored[0].StoredAt == now.Load()
+	})
+}
--- a/fleet/instance/instance.go
+++ b/fleet/instance/instance.go
@@ -115,7 +115,7 @@
 	case found:
 	case incarnation != 0:
 		t.markRetired(process{id: id, incarnation: incarnation})
-	case !t.hasRetired(id):
+	case t.LatestRetired(id) == 0:
 		maps.DeleteFunc(t.removalsWithoutIncarnation, func(_ backend.ID, removedAt time.Time) bool {
 			return now.Sub(removedAt) >= maxDelay
 		})
@@ -124,15 +124,31 @@
 	return found
 }
 
-// hasRetired reports whether a retired process of the ID is remembered. If so, and if no
-// other process of the ID is known, a removal without an incarnation is a repetition.
-func (t *Table) hasRetired(id backend.ID) bool {
+// LatestRetired returns the highest incarnation of the processes of the ID that must never
+// serve again, 0 if none is remembered. If there is one, and if no other process of the ID is
+// known, a removal without an incarnation is a repetition.
+func (t *Table) LatestRetired(id backend.ID) uint64 {
+	latest := uint64(0)
 	for p := range t.retired {
 		if p.id == id {
-			return true
+			latest = max(latest, p.incarnation)
 		}
 	}
-	return false
+	return latest
+}
+
+// IsRetired reports whether the process must never serve again.
+func (t *Table) IsRetired(id backend.ID, incarnation uint64) bool {
+	return t.retired[process{id: id, incarnation: incarnation}]
+}
+
+// RecordRemoval processes a removal that stated no incarnation and that was acknowledged at a
+// time before the start of this daemon. It ends no process, since those that are known may have
+// started later.
+func (t *Table) RecordRemoval(removedAt time.Time, id backend.ID) {
+	if removedAt.After(t.removalsWithoutIncarnation[id]) {
+		t.removalsWithoutIncarnation[id] = removedAt
+	}
 }
 
 // end forgets the last heartbeat of a process and marks it as retired.
--- /dev/null
+++ b/guard/departure_test.go
@@ -0,0 +1,109 @@
+package guard
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"berylpass/config/service"
+	"berylpass/config/snapshot"
+	"berylpass/fleet/backend"
+)
+
+var errNobody = errors.New("nobody keeps departures")
+
+// failingDepartures is a Departures that fails a number of times.
+type failingDepartures struct{ failures, kept int }
+
+func (d *failingDepartures) Add(backend.ID, uint64) error {
+	if d.failures > 0 {
+		d.failures--
+		return errNobody
+	}
+	d.kept++
+	return nil
+}
+
+// oneService is a configuration with the service "rounds".
+type oneService struct{}
+
+func (oneService) Current() snapshot.Snapshot {
+	return snapshot.New(1).WithService(service.New("rounds")).Index()
+}
+
+func newProcess() backend.Backend {
+	return backend.New("i-1", "rounds", "vm-1").WithAddress("10.0.0.1:80").WithSlots(4).WithIncarnation(42)
+}
+
+// TestRepeatedDepartureIsKept guards against the acknowledgement of a repeated message of a
+// backend server that drains or leaves, although the first one could not be kept.
+func TestRepeatedDepartureIsKept(t *testing.T) {
+	for name, leave := range map[string]func(*Guard) error{
+		"draining":                    func(g *Guard) error { return g.Heartbeat(newProcess().WithState(backend.Draining), 2, 0) },
+		"gone":                        func(g *Guard) error { return g.BackendLeft("i-1", 42) },
+		"gone, no incarnation stated": func(g *Guard) error { return g.BackendLeft("i-1", 0) },
+	} {
+		g, _ := newGuard(t)
+		departures := &failingDepartures{failures: 2}
+		g.Departures = departures
+		if err := g.Heartbeat(newProcess(), 1, 0); err != nil {
+			t.Fatal(err)
+		}
+		for n := range 3 {
+			if err := leave(g); (err == nil) != (n == 2) {
+				t.Errorf("%s, message %d: %v", name, n, err)
+			}
+		}
+		if departures.kept != 1 {
+			t.Errorf("%s: kept %d times, want once", name, departures.kept)
+		}
+	}
+}
+
+// TestDrainingOfAnUnknownServiceIsNotAcknowledged guards against a draining heartbeat that is
+// acknowledged and ignored because the configuration doesn't have the service yet.
+func TestDrainingOfAnUnknownServiceIsNotAcknowledged(t *testing.T) {
+	g, _ := newGuard(t)
+	g.Configuration, g.Departures = oneService{}, &failingDepartures{}
+	unknown := newProcess()
+	unknown.Service = "office"
+	if err := g.Heartbeat(unknown.WithState(backend.Draining), 2, 0); !errors.Is(err, ErrUnknownService) {
+		t.Errorf("draining: %v, want ErrUnknownService", err)
+	}
+	if err := g.Heartbeat(unknown, 1, 0); err != nil {
+		t.Errorf("serving: %v", err)
+	}
+}
+
+// TestRestoredDepartures checks that a departure of an earlier run keeps late heartbeats out:
+// for good if the incarnation is known, else while they may still arrive.
+func TestRestoredDepartures(t *testing.T) {
+	for name, test := range map[string]struct {
+		incarnation uint64
+		leftAgo     time.Duration
+		serves      bool
+	}{
+		"same process":                       {42, time.Hour, false},
+		"earlier process":                    {41, 0, true},
+		"no incarnation, a second ago":       {0, time.Second, false},
+		"no incarnation, some minutes ago":   {0, 5 * time.Minute, true},
+		"no incarnation, clock was set back": {0, -time.Second, false},
+	} {
+		g, _ := newGuard(t)
+		g.RestoreDeparture("i-1", test.incarnation, time.Now().Add(-test.leftAgo))
+		if err := g.Heartbeat(newProcess(), 1, 0); err != nil {
+			t.Fatal(err)
+		}
+		if got := len(g.Backends()) == 1; got != test.serves {
+			t.Errorf("%s: serves is %t, want %t", name, got, test.serves)
+		}
+	}
+	g, _ := newGuard(t)
+	if err := g.Heartbeat(newProcess(), 1, 0); err != nil {
+		t.Fatal(err)
+	}
+	g.RestoreDeparture("i-1", 0, time.Now())
+	if len(g.Backends()) != 1 {
+		t.Error("a departure without an incarnation removed a process that may have started later")
+	}
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -63,12 +63,12 @@
 	Return(t enforcer.Token)
 }
 
-// Departures stores which backend server processes have announced that they drain or leave, so that
+// Departures keeps which backend server processes have announced that they drain or leave, so that
 // the record survives a crash of the daemon.
 type Departures interface {
-	// Add stores one departure unless the store fails. It takes a fraction of a second at
-	// most and handles its errors itself.
-	Add(id backend.ID, incarnation uint64)
+	// Add keeps one departure; the incarnation is 0 if it isn't known. It takes a fraction of a
+	// second at most. After an error the departure must not be acknowledged.
+	Add(id backend.ID, incarnation uint64) error
 }
 
 // Observer is notified of events at the guard. Its methods must not block.
@@ -111,7 +111,7 @@
 	Leg           Leg
 	Limit         Limit
 	Observer      Observer
-	// Departures is nil if departures aren't stored.
+	// Departures is nil if departures aren't kept.
 	Departures Departures
 	// Clock replaces time.Now unless it is nil.
 	Clock func() time.Time
--- a/guard/registry.go
+++ b/guard/registry.go
@@ -1,6 +1,8 @@
 package guard
 
 import (
+	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -21,6 +23,10 @@
 
 var _ announcement.Registry = (*Guard)(nil)
 
+// ErrUnknownService means that the configuration in force doesn't have the service of a backend
+// server.
+var ErrUnknownService = errors.New("unknown service")
+
 // Announce adds a backend server or replaces its state. It always returns nil.
 func (g *Guard) Announce(b backend.Backend) error {
 	b.Member = g.self.ID
@@ -105,23 +111,50 @@
 // Heartbeat takes a heartbeat of a backend server, which may come late or out of order;
 // sequence increases with each heartbeat of a process. cold is the time for which the
 // backend server is still to be treated as cold. If the heartbeat says that the backend
-// server drains, Heartbeat adds it to Departures before it returns.
-func (g *Guard) Heartbeat(b backend.Backend, sequence uint64, cold time.Duration) {
+// server drains, Heartbeat adds it to Departures before it returns. After an error, such a
+// heartbeat must not be acknowledged: the departure could not be kept, or the configuration
+// doesn't have the service.
+func (g *Guard) Heartbeat(b backend.Backend, sequence uint64, cold time.Duration) error {
 	b.Member = g.self.ID
 	if s := g.Configuration.Current(); s.Revision > 0 {
 		if _, ok := s.Services[b.Service]; !ok {
 			g.Observer.HeartbeatIgnored(b, "unknown-service")
-			return
+			return unknownService(b)
 		}
 	}
 	if !g.acceptHeartbeat(b, sequence, cold) {
 		// "superseded" stands for every heartbeat that package instance finds invalid.
 		g.Observer.HeartbeatIgnored(b, "superseded")
-		return
 	}
-	if b.State != backend.Serving && g.Departures != nil {
-		g.Departures.Add(b.ID, b.Incarnation)
+	// A repeated heartbeat is invalid, but its departure may not have been kept yet.
+	if b.State == backend.Serving || !g.isRetired(b) {
+		return nil
+	}
+	return g.keepDeparture(b.ID, b.Incarnation)
+}
+
+// unknownService returns the error for a heartbeat of a service that the configuration doesn't
+// have. Only a departure needs one: it would be acknowledged without being recorded.
+func unknownService(b backend.Backend) error {
+	if b.State == backend.Serving {
+		return nil
 	}
+	return fmt.Errorf("%w: %q", ErrUnknownService, b.Service)
+}
+
+// isRetired reports whether the process must never serve again.
+func (g *Guard) isRetired(b backend.Backend) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.instances.IsRetired(b.ID, b.Incarnation)
+}
+
+// keepDeparture adds a departure to Departures, if there are any.
+func (g *Guard) keepDeparture(backendID backend.ID, incarnation uint64) error {
+	if g.Departures == nil {
+		return nil
+	}
+	return g.Departures.Add(backendID, incarnation)
 }
 
 // acceptHeartbeat records the state of b unless the heartbeat is invalid, and reports
@@ -152,21 +185,31 @@
 }
 
 // BackendLeft takes the announcement of a backend server process that it leaves; incarnation is
-// 0 if the process names none. If the incarnation is then known, BackendLeft adds the process
-// to Departures before it returns.
-func (g *Guard) BackendLeft(backendID backend.ID, incarnation uint64) {
-	known := g.RecordDeparture(backendID, incarnation)
+// 0 if the process names none. BackendLeft adds the process to Departures before it returns.
+// After an error, the departure must not be acknowledged.
+func (g *Guard) BackendLeft(backendID backend.ID, incarnation uint64) error {
+	known := g.recordDeparture(backendID, incarnation)
 	if incarnation == 0 {
 		incarnation = known
 	}
-	if incarnation != 0 && g.Departures != nil {
-		g.Departures.Add(backendID, incarnation)
+	return g.keepDeparture(backendID, incarnation)
+}
+
+// RestoreDeparture records a departure that an earlier run of the daemon has acknowledged at a
+// time; incarnation is 0 if it was not known.
+func (g *Guard) RestoreDeparture(backendID backend.ID, incarnation uint64, leftAt time.Time) {
+	if incarnation != 0 {
+		g.recordDeparture(backendID, incarnation)
+		return
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.instances.RecordRemoval(leftAt, backendID)
 }
 
-// RecordDeparture records that a process has left; incarnation is 0 if it is not known. It
-// returns the incarnation of the process that it removes, 0 if there is none.
-func (g *Guard) RecordDeparture(backendID backend.ID, incarnation uint64) uint64 {
+// recordDeparture records that a process has left; incarnation is 0 if it is not known. It
+// returns the latest incarnation of the ID that has left, 0 if none is known.
+func (g *Guard) recordDeparture(backendID backend.ID, incarnation uint64) uint64 {
 	g.registryMu.Lock()
 	defer g.registryMu.Unlock()
 	now := g.Clock()
@@ -177,11 +220,12 @@
 	if present := g.backends[backendID]; removed && (incarnation == 0 || present.Incarnation <= incarnation) {
 		gone, known = g.remove(now, backendID)
 	}
+	latest := g.instances.LatestRetired(backendID)
 	g.mu.Unlock()
 	if known {
 		g.Observer.BackendChanged(gone)
 	}
-	return gone.Incarnation
+	return latest
 }
 
 // replacedBy returns the other backend servers at the address of b. The caller holds g.mu.
--- a/guard/registry_test.go
+++ b/guard/registry_test.go
@@ -76,7 +76,10 @@
 // departureList is a Departures that holds the incarnation of each backend server that left.
 type departureList map[backend.ID]uint64
 
-func (l departureList) Add(id backend.ID, incarnation uint64) { l[id] = incarnation }
+func (l departureList) Add(id backend.ID, incarnation uint64) error {
+	l[id] = incarnation
+	return nil
+}
 
 // TestLeaveWithoutIncarnationIsStored checks that a leave that names no incarnation is
 // stored with the incarnation that the guard knows of the backend server.
