A restarted daemon holds heartbeats until the departures are known

What callers saw: the store turned one machine away, its daemon was killed and started again, and a heartbeat from before a stored departure arrived late.

Cause: the departures were read from the store in the background, with pauses of up to 12 s, and the guard accepted heartbeats from the first moment. Configuration and proof came from other daemons, so the daemon was ready.

Change: the guard holds heartbeats of backend servers that serve until the departures are known, and then takes them in order. fleet/departure/recovery decides that: the holders of the copies have answered, and the list has been read or can't be read at present. The peer that is asked also reads the list for a daemon that can't. The list is read again as soon as the store answers.

Ruled out: the stored list (complete), the order of heartbeats. Considered: not ready until the list is read; a daemon that restarts while the store is down would not serve for hours.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,7 +73,7 @@
 	departures *keeper.Keeper
 	// recovery is nil until it has been started, and in berylpass's own dialect.
 	recovery atomic.Pointer[departureRecovery]
-	ingress    *ingress.Ingress
+	ingress  *ingress.Ingress
 	// startedIngress is ingress once that exists, nil before. Parts that start before the ingress use it.
 	startedIngress atomic.Pointer[ingress.Ingress]
 
--- a/daemon/departures.go
+++ b/daemon/departures.go
@@ -124,7 +124,10 @@
 		case recovery.ReadList:
 			r.wait.Go(r.readList)
 		case recovery.Recall:
-			r.wait.Go(func() { r.recall(a.From) })
+			r.wait.Go(func() { r.recall(a) })
+		case recovery.Known:
+			event.DeparturesKnown.Log(&r.daemon.logger).Bool("timed-out", a.TimedOut).Send()
+			r.daemon.guard.DeparturesKnown()
 		}
 	}
 }
@@ -142,8 +145,8 @@
 }
 
 // recall asks a peer for the copies of the departures.
-func (r *departureRecovery) recall(from member.ID) {
-	copies, err := r.daemon.departures.Recall(r.ctx, from)
+func (r *departureRecovery) recall(a recovery.Recall) {
+	copies, err := r.daemon.departures.Recall(r.ctx, a.From, a.ReadList)
 	r.restore(copies.Processes)
 	r.update(recovery.Recalled{Complete: err == nil && copies.Complete})
 }
--- a/fleet/departure/keeper/keeper.go
+++ b/fleet/departure/keeper/keeper.go
@@ -12,7 +12,7 @@
 //	mesh.Register(keeper.ServiceName, k.Receiver())
 //	err := k.Add("rounds-3", 1700000000000) // acknowledge the departure only if err is nil
 //	processes, err := k.Load(ctx)           // after a restart: from the store
-//	copies, err := k.Recall(ctx, "vm-4")    // and from the other daemons
+//	copies, err := k.Recall(ctx, "vm-4", err != nil) // and from the other daemons
 //	k.Close()
 package keeper
 
@@ -259,12 +259,13 @@
 }
 
 // Recall returns the departures at this daemon of which other daemons have copies, by way of a
-// peer, which asks the holders. What is recalled is stored unless it is.
-func (k *Keeper) Recall(ctx context.Context, peer member.ID) (Copies, error) {
+// peer, which asks the holders. With readList, the peer also reads the list in the store. What is
+// recalled is stored unless it is.
+func (k *Keeper) Recall(ctx context.Context, peer member.ID, readList bool) (Copies, error) {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
 	var reply Copies
-	err := k.Caller.Call(ctx, peer, recallMethod, Query{Daemon: k.Self, PassOn: true}, &reply)
+	err := k.Caller.Call(ctx, peer, recallMethod, Query{Daemon: k.Self, PassOn: true, ReadList: readList}, &reply)
 	for _, p := range reply.Processes {
 		k.storeLater(p)
 	}
--- a/fleet/departure/keeper/keeper_test.go
+++ b/fleet/departure/keeper/keeper_test.go
@@ -91,7 +91,7 @@
 
 // recalled returns what the daemon vm-1 learns by way of a peer after a restart.
 func (f *network) recalled(by member.ID) Copies {
-	copies, err := f.start("vm-1").Recall(context.Background(), by)
+	copies, err := f.start("vm-1").Recall(context.Background(), by, false)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -174,7 +174,7 @@
 		if restarted {
 			k.Close()
 			k = f.start("vm-1")
-			if _, err := k.Recall(context.Background(), "vm-2"); err != nil {
+			if _, err := k.Recall(context.Background(), "vm-2", false); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -186,6 +186,22 @@
 	}
 }
 
+// TestPeersReadTheStoreForADaemonThatIsTurnedAway guards against a departed backend server that
+// serves again because the store refuses only the daemon beside it, and the daemons with copies
+// have restarted too.
+func TestPeersReadTheStoreForADaemonThatIsTurnedAway(t *testing.T) {
+	f := newNetwork(t, 3)
+	if err := departure.New(f.store, "vm-1", time.Now).Add(context.Background(), departure.Process{ID: "i-1", Incarnation: 42}); err != nil {
+		t.Fatal(err)
+	}
+	for _, readList := range []bool{false, true} {
+		got, err := f.start("vm-1").Recall(context.Background(), "vm-2", readList)
+		if err != nil || !got.Complete || (len(got.Processes) == 1) != readList {
+			t.Errorf("the peer reads the list is %t: got %+v, %v", readList, got, err)
+		}
+	}
+}
+
 // TestRepeatedDepartureCostsNoCalls checks that a backend server that repeats that it drains
 // causes no further calls.
 func TestRepeatedDepartureCostsNoCalls(t *testing.T) {
--- a/fleet/departure/keeper/receiver.go
+++ b/fleet/departure/keeper/receiver.go
@@ -25,10 +25,11 @@
 	Process departure.Process
 }
 
-// Query asks for the departures at a daemon. With PassOn, the receiver asks the holders too.
+// Query asks for the departures at a daemon. With PassOn, the receiver asks the holders too, and
+// with ReadList it also reads the list in the store, which the daemon can't read itself.
 type Query struct {
-	Daemon member.ID
-	PassOn bool
+	Daemon           member.ID
+	PassOn, ReadList bool
 }
 
 // Copies is the answer to a Query.
@@ -56,7 +57,7 @@
 }
 
 // Recall returns the departures at a daemon of which this daemon, and with PassOn also the
-// holders, have copies.
+// holders, have copies, and with ReadList those in the store, if it answers.
 func (r *Receiver) Recall(q Query, reply *Copies) (err error) {
 	defer mesh.Recover(&err)
 	k := r.keeper
@@ -65,26 +66,38 @@
 	k.mu.Unlock()
 	*reply = Copies{Processes: own}
 	if q.PassOn {
-		*reply = k.ask(q.Daemon, own)
+		*reply = k.ask(q, own)
 	}
 	return nil
 }
 
-// ask asks the holders of a daemon's departures and returns what they and this daemon have.
-func (k *Keeper) ask(daemon member.ID, own []departure.Process) Copies {
+// ask asks the holders of a daemon's departures, and the store if that is wanted, and returns
+// what they and this daemon have.
+func (k *Keeper) ask(q Query, own []departure.Process) Copies {
 	ctx, cancel := context.WithTimeout(k.ctx, holderTimeout)
 	defer cancel()
-	plan := holder.New(daemon, k.Fleet.Members())
+	plan := holder.New(q.Daemon, k.Fleet.Members())
 	var mu sync.Mutex
 	var calls sync.WaitGroup
 	found := Copies{Processes: own}
 	heard := 0
+	if q.ReadList {
+		calls.Go(func() {
+			// Without the store, the copies are all that is known.
+			stored, err := departure.New(k.Store, q.Daemon, k.Clock).Load(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				found = found.with(stored)
+			}
+		})
+	}
 	for _, id := range plan.Holders() {
 		calls.Go(func() {
 			var reply Copies
 			var err error
 			if id != k.Self {
-				err = k.Caller.Call(ctx, id, recallMethod, Query{Daemon: daemon}, &reply)
+				err = k.Caller.Call(ctx, id, recallMethod, Query{Daemon: q.Daemon}, &reply)
 			}
 			mu.Lock()
 			defer mu.Unlock()
--- a/fleet/departure/recovery/recovery.go
+++ b/fleet/departure/recovery/recovery.go
@@ -61,8 +61,12 @@
 // ReadList asks for the list of departures to be read from the store.
 type ReadList struct{}
 
-// Recall asks for the copies of the departures, by way of a peer.
-type Recall struct{ From member.ID }
+// Recall asks for the copies of the departures, by way of a peer, which is to read the list as
+// well if ReadList is set.
+type Recall struct {
+	From     member.ID
+	ReadList bool
+}
 
 // Known reports that heartbeats may be accepted. TimedOut is true if that is only because
 // MaxWait has passed.
@@ -133,11 +137,13 @@
 	if r.alone() {
 		r.recalled = true
 	}
-	if r.recalled || r.recalling || len(r.tick.Peers) == 0 || now.Before(r.recallAt) {
+	// The peers are asked after the first read, since they read the list if that has failed.
+	tried := r.listRead || r.failures > 0
+	if r.recalled || r.recalling || !tried || len(r.tick.Peers) == 0 || now.Before(r.recallAt) {
 		return
 	}
 	r.recalling = true
-	r.emit(Recall{From: r.tick.Peers[r.random.IntN(len(r.tick.Peers))]})
+	r.emit(Recall{From: r.tick.Peers[r.random.IntN(len(r.tick.Peers))], ReadList: !r.listRead})
 }
 
 // alone reports whether the fleet certainly has no other daemon.
--- a/fleet/departure/recovery/recovery_test.go
+++ b/fleet/departure/recovery/recovery_test.go
@@ -72,7 +72,7 @@
 		t.Error("the daemon no longer asks for the departures")
 	}
 	late := start.Add(MaxWait + 20*time.Millisecond)
-	if actions := r.Update(late, Tick{Peers: []member.ID{"vm-2"}}); !slices.Contains(actions, decision.Action(Recall{From: "vm-2"})) {
+	if actions := r.Update(late, Tick{Peers: []member.ID{"vm-2"}}); !slices.Contains(actions, decision.Action(Recall{From: "vm-2", ReadList: true})) {
 		t.Errorf("the first peer isn't asked: %v", actions)
 	}
 	if actions := r.Update(late, StoreAnswered{}); !slices.Contains(actions, decision.Action(ReadList{})) && !r.reading {
--- a/guard/departure_test.go
+++ b/guard/departure_test.go
@@ -8,6 +8,7 @@
 	"berylpass/config/service"
 	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
+	"berylpass/fleet/member"
 )
 
 var errNobody = errors.New("nobody keeps departures")
@@ -107,3 +108,43 @@
 		t.Error("a departure without an incarnation removed a process that may have started later")
 	}
 }
+
+// TestHeartbeatsAreHeldUntilDeparturesAreKnown guards against a late heartbeat that brings a
+// departed backend server back because the daemon has restarted and doesn't know of the
+// departure yet, and against the loss of the heartbeats that came meanwhile.
+func TestHeartbeatsAreHeldUntilDeparturesAreKnown(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	g := New(member.New("vm-1", "srem").WithIncarnation(1), Parts{
+		Configuration: noConfiguration{}, Observer: &stateRecorder{states: map[backend.ID]backend.State{}},
+		Departures: &failingDepartures{}, Clock: func() time.Time { return now },
+	})
+	defer g.Close()
+	departed, drained, serving := newProcess(), newProcess(), newProcess()
+	drained.ID, drained.Address = "i-2", "10.0.0.1:81"
+	serving.ID, serving.Address = "i-3", "10.0.0.1:82"
+	for _, b := range []backend.Backend{departed, drained, serving} {
+		if err := g.Heartbeat(b, 1, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := g.Heartbeat(drained.WithState(backend.Draining), 2, 0); err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range g.Backends() {
+		if b.State == backend.Serving {
+			t.Errorf("%s serves before the departures are known", b.ID)
+		}
+	}
+	g.RestoreDeparture("i-1", 42, now)
+	g.DeparturesKnown()
+	states := map[backend.ID]backend.State{}
+	for _, b := range g.Backends() {
+		states[b.ID] = b.State
+	}
+	if len(states) != 2 || states["i-2"] != backend.Draining || states["i-3"] != backend.Serving {
+		t.Errorf("got %v, want i-2 draining and i-3 serving", states)
+	}
+	if err := g.Heartbeat(departed, 2, 0); err != nil || len(g.Backends()) != 2 {
+		t.Errorf("after a further late heartbeat: %v, %v", g.Backends(), err)
+	}
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -111,7 +111,8 @@
 	Leg           Leg
 	Limit         Limit
 	Observer      Observer
-	// Departures is nil if departures aren't kept.
+	// Departures is nil if departures aren't kept. Otherwise the guard takes no backend server into
+	// service by a heartbeat before DeparturesKnown has been called.
 	Departures Departures
 	// Clock replaces time.Now unless it is nil.
 	Clock func() time.Time
@@ -147,6 +148,9 @@
 	// instances decides which heartbeats are accepted.
 	instances *instance.Table
 	attempts  map[id.ID]*attempt
+	// holding is true until DeparturesKnown has been called, held contains the heartbeats until then.
+	holding bool
+	held    []heldHeartbeat
 	// calls records which services the attempts on this VM call, by route.
 	calls   *calls.Calls
 	leaving bool
@@ -179,6 +183,7 @@
 		instances: instance.New(),
 		attempts:  map[id.ID]*attempt{},
 		calls:     calls.New(),
+		holding:   parts.Departures != nil,
 	}
 	g.wait.Go(func() {
 		ticker := time.NewTicker(tickInterval)
--- a/guard/registry.go
+++ b/guard/registry.go
@@ -122,6 +122,9 @@
 			return unknownService(b)
 		}
 	}
+	if g.hold(b, sequence, cold) {
+		return nil
+	}
 	if !g.acceptHeartbeat(b, sequence, cold) {
 		// "superseded" stands for every heartbeat that package instance finds invalid.
 		g.Observer.HeartbeatIgnored(b, "superseded")
--- a/monitor/event/catalogue.go
+++ b/monitor/event/catalogue.go
@@ -69,6 +69,7 @@
 	DepartureNotKept    = warn(5006, "departure-not-kept", "A backend server left, and its departure could neither be stored nor copied to enough other daemons: it gets no new requests, and no acknowledgement.")
 	DepartureNotStored  = warn(5008, "departure-not-stored", "A backend server left, and its departure could not be stored: the daemon has other daemons keep it, and tries again.")
 	DeparturesUnread    = warn(5007, "departures-unread", "The stored departures of backend servers could not be read at the start; the daemon tries again.")
+	DeparturesKnown     = info(5009, "departures-known", "The daemon has learnt which backend servers left before its start, and takes heartbeats from now on; timed-out says that neither store nor peers have answered in time.")
 	MemberJoined        = info(5101, "member-joined", "A daemon joined the fleet.")
 	MemberSuspect       = warn(5102, "member-suspect", "A daemon answers no probes, neither direct ones nor those sent through other members.")
 	MemberDead          = warn(5103, "member-dead", "A suspect daemon did not refute the suspicion in time and was removed from the fleet.")
