fleet/departure/keeper: a call after Close fails, an acknowledgement waits no longer than its limit

Found by reading: an Add that runs while the daemon closes could register a goroutine after Close had begun to wait, and one that waited for the list behind an earlier call could take twice its limit.

--- a/fleet/departure/keeper/keeper.go
+++ b/fleet/departure/keeper/keeper.go
@@ -40,9 +40,8 @@
 	loadTimeout = 500 * time.Millisecond
 	// holderTimeout bounds the call of one holder on behalf of another daemon.
 	holderTimeout = 400 * time.Millisecond
-	// recallTimeout bounds Recall. A peer that passes the call on takes up to holderTimeout or
-	// loadTimeout.
-	recallTimeout = time.Second
+	// recallTimeout bounds Recall. The peer that passes the call on takes up to holderTimeout of it.
+	recallTimeout = 600 * time.Millisecond
 	// minStorePause and maxStorePause bound the exponential back-off between attempts to store
 	// what is only copied. Each pause is multiplied by a random factor from 0.5 to 1.5.
 	minStorePause = time.Second
@@ -127,12 +126,25 @@
 	return k
 }
 
-// Close stops the keeper and waits for its goroutines.
+// Close stops the keeper and waits for its goroutines. After it, Add fails.
 func (k *Keeper) Close() {
+	k.mu.Lock()
 	k.cancel()
+	k.mu.Unlock()
 	k.wait.Wait()
 }
 
+// begin registers a goroutine for which Close must wait, and reports whether the keeper is open.
+func (k *Keeper) begin() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ctx.Err() != nil {
+		return false
+	}
+	k.wait.Add(1)
+	return true
+}
+
 // StoreAnswered tells the keeper that the store answers.
 func (k *Keeper) StoreAnswered() {
 	select {
@@ -149,28 +161,47 @@
 	if k.isKept(p) {
 		return nil
 	}
+	if !k.begin() {
+		return fmt.Errorf("%w: %w", ErrNotKept, context.Canceled)
+	}
 	plan := holder.New(k.Self, k.Fleet.Members())
 	ctx, cancel := context.WithTimeout(k.ctx, keepTimeout)
-	outcomes := k.send(ctx, cancel, p, plan.Holders())
+	outcomes := k.send(ctx, p, plan.Holders(), func() {
+		cancel()
+		k.wait.Done()
+	})
+	if err := awaitKept(outcomes, 1+len(plan.Holders()), plan.Copies()); err != nil {
+		err = fmt.Errorf("%w: %w", ErrNotKept, err)
+		k.Observer.DepartureNotKept(p, err)
+		return err
+	}
+	k.remember(p)
+	return nil
+}
+
+// awaitKept receives n outcomes until the departure is stored or has enough copies. It returns
+// the errors if that doesn't happen within keepTimeout.
+func awaitKept(outcomes <-chan outcome, n, enough int) error {
+	// The context of the calls doesn't end a wait for the list, which an earlier call may hold.
+	timeout := time.NewTimer(keepTimeout)
+	defer timeout.Stop()
 	copies := 0
 	var errs error
-	for range 1 + len(plan.Holders()) {
-		o := <-outcomes
-		if o.err != nil {
+	for range n {
+		select {
+		case <-timeout.C:
+			return errors.Join(errs, context.DeadlineExceeded)
+		case o := <-outcomes:
+			if o.err == nil && !o.stored {
+				copies++
+			}
+			if o.err == nil && (o.stored || copies == enough) {
+				return nil
+			}
 			errs = errors.Join(errs, o.err)
-			continue
-		}
-		if !o.stored {
-			copies++
-		}
-		if o.stored || copies == plan.Copies() {
-			k.remember(p)
-			return nil
 		}
 	}
-	err := fmt.Errorf("%w: %w", ErrNotKept, errs)
-	k.Observer.DepartureNotKept(p, err)
-	return err
+	return errs
 }
 
 // outcome is the result of storing a departure, or of copying it to one holder.
@@ -181,7 +212,7 @@
 
 // send stores a departure and copies it to the holders, all at once, and returns a channel that
 // receives each outcome. It calls done when all have ended.
-func (k *Keeper) send(ctx context.Context, done func(), p departure.Process, holders []member.ID) <-chan outcome {
+func (k *Keeper) send(ctx context.Context, p departure.Process, holders []member.ID, done func()) <-chan outcome {
 	outcomes := make(chan outcome, 1+len(holders))
 	var calls sync.WaitGroup
 	calls.Go(func() {
@@ -199,10 +230,10 @@
 			outcomes <- outcome{err: err}
 		})
 	}
-	k.wait.Go(func() {
+	go func() {
 		calls.Wait()
 		done()
-	})
+	}()
 	return outcomes
 }
 
