soak: backend servers leave while the store is away, and their daemons are killed

From seed 20000 on, a plan has three steps more: a backend server leaves while the store is away for all, or just before it turns the daemon's machine away; the daemon is killed and started again; a heartbeat from before then arrives after up to 4 s. Plans of lower seeds are unchanged.

--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -38,7 +38,9 @@
 	// failing makes it respond with 500, crashed close connections without a response,
 	// and unresponsive never respond.
 	failing, crashed, unresponsive atomic.Bool
-	running                        atomic.Int64
+	// silent stops the regular heartbeats.
+	silent  atomic.Bool
+	running atomic.Int64
 
 	mu            sync.Mutex
 	processNumber int
@@ -94,28 +96,42 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if !b.crashed.Load() {
+			if !b.crashed.Load() && !b.silent.Load() {
 				go b.sendHeartbeat()
 			}
 		}
 	}
 }
 
-func (b *backend) sendHeartbeat() {
+func (b *backend) sendHeartbeat() { b.send(b.nextMessage()) }
+
+// message is a heartbeat of one process of a backend server.
+type message struct {
+	processNumber int
+	state         servers.State
+	url           string
+	body          []byte
+}
+
+// nextMessage returns the next heartbeat.
+func (b *backend) nextMessage() message {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.sequence++
-	processNumber, state := b.processNumber, b.state
 	announced := servers.New(servers.ID(b.id()), "rounds", "").WithAddress(b.link.address()).
-		WithSlots(slots).WithIncarnation(b.incarnation).WithState(state)
+		WithSlots(slots).WithIncarnation(b.incarnation).WithState(b.state)
 	body, err := heartbeat.Encode(announced, b.vm.datacentre, b.sequence, 0)
-	url := "http://" + b.vm.address(backendsPort) + wire.InstancesPath + b.id()
-	b.mu.Unlock()
 	if err != nil {
 		panic(err)
 	}
+	return message{processNumber: b.processNumber, state: b.state, url: "http://" + b.vm.address(backendsPort) + wire.InstancesPath + b.id(), body: body}
+}
+
+// send sends a heartbeat and records the acknowledgement of a drain.
+func (b *backend) send(m message) {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, m.url, bytes.NewReader(m.body))
 	if err != nil {
 		return
 	}
@@ -126,7 +142,7 @@
 	_ = response.Body.Close()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if response.StatusCode == http.StatusOK && state == servers.Draining && processNumber == b.processNumber && b.drainAckAt.IsZero() {
+	if response.StatusCode == http.StatusOK && m.state == servers.Draining && m.processNumber == b.processNumber && b.drainAckAt.IsZero() {
 		b.drainAckAt = time.Now()
 	}
 }
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -6,8 +6,9 @@
 // or sent SIGHUP; when the links to callers, to backend servers and to the store are
 // delayed, reset, refused, or blocked in one or both directions; when the store is
 // unavailable, slow or loses responses; when backend servers drain, crash, fail and come
-// back; and when keys are withdrawn. The scheduling within the processes does not depend
-// on the seed: a seed that has failed may pass the next time.
+// back; and when keys are withdrawn. From seed 20000 on, backend servers also leave while the
+// store is away, their daemons are killed, and late heartbeats arrive. The scheduling within
+// the processes does not depend on the seed: a seed that has failed may pass the next time.
 //
 // # Usage
 //
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -24,6 +24,10 @@
 	// Each seed that is a multiple of plannedOnlyEvery has planned work only.
 	plannedOnlyEvery = 4
 	stepCount        = 14
+	// From the seed firstLeavingSeed on, leavingSteps backend servers also leave while the store
+	// is away, and their daemons are killed.
+	firstLeavingSeed = 20000
+	leavingSteps     = 3
 )
 
 var (
@@ -55,6 +59,14 @@
 		}[random.IntN(5)]
 		list = append(list, s)
 	}
+	if seed >= firstLeavingSeed {
+		for range leavingSteps {
+			list = append(list, step{
+				at: time.Duration(random.Int64N(int64(faultWindow))), duration: time.Duration(random.Int64N(int64(4 * time.Second))),
+				kind: []string{"leave-and-kill", "leave-turned-away"}[random.IntN(2)], vm: random.IntN(vmCount),
+			})
+		}
+	}
 	slices.SortStableFunc(list, func(a, b step) int { return int(a.at - b.at) })
 	return list
 }
@@ -107,6 +119,8 @@
 		b.replace()
 		b.link.setFaults(linkFaults{})
 		b.crashed.Store(false)
+	case "leave-and-kill", "leave-turned-away":
+		f.leaveAndKill(s)
 	case "drain":
 		b.drain()
 		time.Sleep(drainBound + s.duration)
@@ -114,6 +128,28 @@
 	}
 }
 
+// leaveAndKill lets a backend server leave while the store is away for all, or turns its daemon
+// away afterwards. The daemon is killed, and a heartbeat from before then arrives after the
+// step's duration.
+func (f *fleet) leaveAndKill(s step) {
+	v, b := f.vms[s.vm], f.backends[s.vm]
+	b.silent.Store(true)
+	late := b.nextMessage()
+	if s.kind == "leave-and-kill" {
+		f.platform.Store().SetFaults(memory.Faults{Unavailable: true})
+	}
+	b.drain()
+	v.store.setFaults(linkFaults{Refuse: true})
+	f.signalDaemon(step{kind: "kill", vm: s.vm})
+	time.Sleep(s.duration)
+	b.send(late)
+	f.platform.Store().SetFaults(memory.Faults{})
+	v.store.setFaults(linkFaults{})
+	time.Sleep(drainBound + 2*time.Second)
+	b.replace()
+	b.silent.Store(false)
+}
+
 // signalDaemon carries out a step that signals the daemon of a VM, and restarts the daemon
 // if it has ended. The steps of one VM run one after another.
 func (f *fleet) signalDaemon(s step) {
