limit/enforcer: an outdated holder doesn't refuse for the fleet

Cause: Lend said how many tokens its own limit leaves, whatever revision that limit was of, and the asking daemon counted the holder as asked and recorded its level.

Change: Borrow states the revision of the daemon that asks. A holder below it says so, and hears of the newer revision, so that it fetches it at once. It isn't counted: another holder is asked in its place, its level isn't recorded, and without a token the refusal is ErrOutdated, which ingress and guard answer as configuration-outdated (503, Retry-After). What an up-to-date holder refuses stays 429. Builds before this one state no revision and are answered as before.

--- a/daemon/start.go
+++ b/daemon/start.go
@@ -90,6 +90,7 @@
 func (d *Daemon) startGuard(store *observed.Store) {
 	d.limits = enforcer.New(enforcer.Options{
 		Self: d.self.ID, Seed: d.self.Incarnation, Mesh: d.mesh, Fleet: &d.fleet, Clock: d.clock,
+		HeardRevision: d.observer.HeardRevision,
 		TokenLifetime: d.tokenLifetime(), Slack: enforcer.Slack{Share: d.settings.Limits.LimitOvershoot, Requests: float64(d.settings.Limits.LimitSlack)},
 	})
 	d.onClose(d.limits.Close)
--- a/guard/check.go
+++ b/guard/check.go
@@ -29,7 +29,8 @@
 	// the organisation has no limit. The value is older than the name.
 	ReasonNoHolder = "no-lease"
 	// ReasonOutdated means that the guard's configuration doesn't allow the request, and that the
-	// ingress has a newer one, which the guard hasn't received yet.
+	// ingress has a newer one, which the guard hasn't received yet; or that a holder of the limit
+	// hasn't.
 	ReasonOutdated = "configuration-outdated"
 	ReasonShed     = "backend-shed"
 	// ReasonRetryBudget means that the retry budget of a service that the attempt would
--- a/guard/outdated_test.go
+++ b/guard/outdated_test.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"testing"
@@ -29,11 +30,14 @@
 		WithRoute(route.New("reserve", "rounds").WithMatch("", "/reserve")).Index()
 }
 
-// exhausted is a Limit that has no token.
-type exhausted struct{ unlimited }
+// exhausted is a Limit that has no token, for a reason; enforcer.ErrOverLimit if nil.
+type exhausted struct {
+	unlimited
+	reason error
+}
 
-func (exhausted) Draw(_ context.Context, name string) (enforcer.Token, error) {
-	return enforcer.Token{}, &enforcer.Refusal{Organisation: name, Reason: enforcer.ErrOverLimit}
+func (l exhausted) Draw(_ context.Context, name string) (enforcer.Token, error) {
+	return enforcer.Token{}, &enforcer.Refusal{Organisation: name, Reason: cmp.Or(l.reason, enforcer.ErrOverLimit)}
 }
 
 // revisionRecorder records the revisions that were heard.
@@ -93,3 +97,17 @@
 		}
 	}
 }
+
+// TestOutdatedHolderIsNoRefusalForAll guards against a refusal for the whole fleet because the
+// holder that a guard has asked for a token hasn't received a newer configuration yet.
+func TestOutdatedHolderIsNoRefusalForAll(t *testing.T) {
+	g := New(member.New("vm-1", "srem").WithIncarnation(1), Parts{
+		Configuration: twoRoutes{}, Observer: &stateRecorder{states: map[backend.ID]backend.State{}},
+		Limit: exhausted{reason: enforcer.ErrOutdated},
+	})
+	defer g.Close()
+	_, err := g.token(context.Background(), hop.Envelope{Organisation: "library"})
+	if got := g.refusalOf(err, hop.Envelope{Revision: 1}); got.reason != ReasonOutdated || got.ending != hop.NotRun {
+		t.Errorf("reason %s, want %s", got.reason, ReasonOutdated)
+	}
+}
--- a/guard/token.go
+++ b/guard/token.go
@@ -56,7 +56,7 @@
 	if errors.Is(err, enforcer.ErrNoHolder) {
 		res.reason = ReasonNoHolder
 	}
-	if g.Configuration.Current().Revision < e.Revision {
+	if errors.Is(err, enforcer.ErrOutdated) || g.Configuration.Current().Revision < e.Revision {
 		res.reason = ReasonOutdated
 	}
 	return res
--- a/ingress/outdated_test.go
+++ b/ingress/outdated_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +18,7 @@
 	"berylpass/guard"
 	"berylpass/hop"
 	"berylpass/hop/forwarder"
+	"berylpass/limit/enforcer"
 )
 
 const knownSecret = "a-key-of-the-library-0123456789"
@@ -115,3 +118,30 @@
 		}
 	}
 }
+
+// refusingLimit is a Limit that refuses every token for a reason.
+type refusingLimit struct {
+	fakeLimit
+	reason error
+}
+
+func (l refusingLimit) Draw(_ context.Context, name string) (enforcer.Token, error) {
+	return enforcer.Token{}, &enforcer.Refusal{Organisation: name, Reason: l.reason, RetryAfter: time.Second}
+}
+
+// TestOutdatedHolderIsNoOverLimit guards against a 429 by the limit of a holder that hasn't
+// received a newer configuration yet.
+func TestOutdatedHolderIsNoOverLimit(t *testing.T) {
+	for reason, want := range map[error]int{
+		enforcer.ErrOverLimit: http.StatusTooManyRequests,
+		enforcer.ErrOutdated:  http.StatusServiceUnavailable,
+	} {
+		w := request(keyedConfiguration{}, &refusingHop{attempts: 1}, refusingLimit{reason: reason}, "/fields", knownSecret)
+		if w.Code != want || w.Header().Get("Retry-After") == "" {
+			t.Errorf("%v: status %d, Retry-After %q; want %d", reason, w.Code, w.Header().Get("Retry-After"), want)
+		}
+		if outdated := strings.Contains(w.Body.String(), guard.ReasonOutdated); outdated != errors.Is(reason, enforcer.ErrOutdated) {
+			t.Errorf("%v: body %s", reason, w.Body)
+		}
+	}
+}
--- a/ingress/token.go
+++ b/ingress/token.go
@@ -34,7 +34,7 @@
 	if !errors.Is(err, enforcer.ErrOverLimit) {
 		refused.Reason = reasonNoHolder
 	}
-	if x.ingress.Configuration.Behind(x.ingress.Clock()) {
+	if errors.Is(err, enforcer.ErrOutdated) || x.ingress.Configuration.Behind(x.ingress.Clock()) {
 		refused.Reason = guard.ReasonOutdated
 	}
 	return nil, refused
--- a/limit/enforcer/enforcer.go
+++ b/limit/enforcer/enforcer.go
@@ -13,7 +13,7 @@
 //	switch {
 //	case errors.As(err, &refusal):
 //		// Refuse the request as not run, with refusal.RetryAfter. refusal.Reason is
-//		// enforcer.ErrOverLimit or enforcer.ErrNoHolder.
+//		// enforcer.ErrOverLimit, enforcer.ErrNoHolder or enforcer.ErrOutdated.
 //	case err == nil && clock().Before(token.Expires):
 //		// Run the request, then e.Started(token). If it has certainly not run: e.Return(token).
 //	}
@@ -62,6 +62,9 @@
 	maxLendCalls    = 6
 	// noHolderRetryAfter is the advised pause before a retry while no holder can be reached.
 	noHolderRetryAfter = 500 * time.Millisecond
+	// outdatedRetryAfter is the advised pause before a retry while a holder is outdated. It fetches
+	// the newer configuration as soon as it hears of it.
+	outdatedRetryAfter = 250 * time.Millisecond
 )
 
 var (
@@ -70,14 +73,18 @@
 	// ErrNoHolder means that no holder of a share of the organisation's limit could be reached,
 	// or that the organisation has no limit.
 	ErrNoHolder = errors.New("no holder of the organisation's limit can be reached")
+	// ErrOutdated means that a holder which has no token has an older configuration than this
+	// daemon, whose limit may be higher.
+	ErrOutdated = errors.New("a holder of the organisation's limit has an older configuration")
 	// ErrClosed means that the enforcer has been closed.
 	ErrClosed = errors.New("enforcer is closed")
 )
 
-// Refusal is the error of Draw if there is no token. It wraps ErrOverLimit or ErrNoHolder.
+// Refusal is the error of Draw if there is no token. It wraps ErrOverLimit, ErrNoHolder or
+// ErrOutdated.
 type Refusal struct {
 	Organisation string
-	// Reason is ErrOverLimit or ErrNoHolder.
+	// Reason is ErrOverLimit, ErrNoHolder or ErrOutdated.
 	Reason error
 	// RetryAfter is the advised pause before the next try.
 	RetryAfter time.Duration
@@ -148,6 +155,9 @@
 	TokenLifetime time.Duration
 	// Clock returns the current time with a monotonic reading.
 	Clock func() time.Time
+	// HeardRevision is called with the configuration revision of a daemon that asks for tokens
+	// by newer limits than this one has; nil if nobody needs to know. It must not block.
+	HeardRevision func(revision uint64, from member.ID)
 }
 
 // Enforcer is the rate limiter of one daemon. It is safe for concurrent use.
@@ -163,6 +173,8 @@
 	mu     sync.Mutex
 	closed bool
 	pool   *pool.Pool
+	// revision is the revision of the configuration whose limits the pool has.
+	revision uint64
 	// waiting holds the organisations for which a draw waits for the next token.
 	waiting map[string]bool
 }
@@ -227,6 +239,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.pool.SetLimits(e.options.Clock(), limits)
+	e.revision = s.Revision
 }
 
 // limit returns the limit to enforce: rate and burst raised by the slack, and the burst
@@ -267,25 +280,31 @@
 	refusal := &Refusal{Organisation: organisation, RetryAfter: e.pool.RetryAfter(organisation)}
 	refusal.Limit, refusal.Holders, refusal.OwnLevel = e.pool.Describe(now, organisation)
 	e.mu.Unlock()
-	holderReached := reachable && len(holders) == 0
+	holderReached, outdated := reachable && len(holders) == 0, false
 	for _, holder := range holders[:min(len(holders), maxLendCalls)] {
 		lent, err := e.borrow(ctx, holder, organisation)
 		if err == nil && lent.Tokens > 0 {
 			return token, nil
 		}
-		holderReached = holderReached || err == nil && lent.Holder
-		if err != nil || lent.Holder {
+		// An outdated holder is not counted, so that another one is asked in its place.
+		outdated = outdated || lent.Outdated
+		holderReached = holderReached || lent.Holder && !lent.Outdated
+		if err != nil || lent.Holder && !lent.Outdated {
 			refusal.HoldersAsked++
 		}
 		if refusal.HoldersAsked >= maxHoldersAsked {
 			break
 		}
 	}
-	refusal.Reason = ErrOverLimit
-	if !holderReached {
+	switch {
+	case outdated:
+		refusal.Reason, refusal.RetryAfter = ErrOutdated, outdatedRetryAfter
+	case !holderReached:
 		refusal.Reason, refusal.RetryAfter = ErrNoHolder, noHolderRetryAfter
+	default:
+		refusal.Reason = ErrOverLimit
 	}
-	if holderReached && e.waitForOwnToken(ctx, organisation) {
+	if (holderReached || outdated) && e.waitForOwnToken(ctx, organisation) {
 		return Token{Organisation: organisation, Expires: e.options.Clock().Add(e.options.TokenLifetime)}, nil
 	}
 	return Token{}, refusal
@@ -316,15 +335,21 @@
 	return ctx.Err() == nil && !e.closed && e.pool.Take(e.options.Clock(), organisation)
 }
 
-// borrow asks another holder for one token and records the level that the holder reports.
+// borrow asks another holder for one token and records the level that the holder reports,
+// unless that is a level of an older limit.
 func (e *Enforcer) borrow(ctx context.Context, holder member.ID, organisation string) (Lent, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	e.mu.Lock()
+	args := Borrow{Organisation: organisation, Tokens: 1, Revision: e.revision, From: e.options.Self}
+	e.mu.Unlock()
 	var reply Lent
-	err := e.options.Mesh.Call(ctx, holder, ServiceName+".Lend", Borrow{Organisation: organisation, Tokens: 1}, &reply)
-	if err != nil {
+	if err := e.options.Mesh.Call(ctx, holder, ServiceName+".Lend", args, &reply); err != nil {
 		return Lent{}, err
 	}
+	if reply.Outdated {
+		return reply, nil
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.pool.RecordLevel(e.options.Clock(), organisation, holder, reply.Level)
--- a/limit/enforcer/receiver.go
+++ b/limit/enforcer/receiver.go
@@ -1,11 +1,18 @@
 package enforcer
 
-import "berylpass/mesh"
+import (
+	"berylpass/fleet/member"
+	"berylpass/mesh"
+)
 
 // Borrow is the argument of Lend: it asks a holder for tokens of an organisation's limit.
 type Borrow struct {
 	Organisation string
 	Tokens       int
+	// Revision is the configuration revision of the daemon that asks, From its ID. Earlier builds
+	// don't state them.
+	Revision uint64
+	From     member.ID
 }
 
 // Lent is the reply of Lend.
@@ -16,6 +23,9 @@
 	Level float64
 	// Holder reports whether the called daemon holds a share of the limit.
 	Holder bool
+	// Outdated reports whether the called daemon has limits of an older configuration than the
+	// daemon that asks.
+	Outdated bool
 }
 
 // maxBorrow bounds the tokens lent for one Borrow.
@@ -32,11 +42,17 @@
 func (r *Receiver) Lend(args Borrow, reply *Lent) (err error) {
 	defer mesh.Recover(&err)
 	e := r.enforcer
+	defer func() {
+		if reply.Outdated && e.options.HeardRevision != nil {
+			e.options.HeardRevision(args.Revision, args.From)
+		}
+	}()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.closed {
 		return ErrClosed
 	}
+	reply.Outdated = e.revision < args.Revision
 	reply.Tokens, reply.Level, reply.Holder = e.pool.Lend(e.options.Clock(), args.Organisation, min(max(args.Tokens, 0), maxBorrow))
 	return nil
 }
