guard: a key or route is denied only with a recent proof

After a cut, a pause or a restart a daemon can have any older configuration, and the ingress took key-withdrawn and no-route of any guard that wasn't behind itself as final.

Change: a guard that isn't behind the ingress denies only if ProvenNewest holds, as the ingress does since. Otherwise it refuses with configuration-unproven. That is 503 with Retry-After and final: the likely reason is still a withdrawn key, so no other guard, which may be older, is asked to run the request.

Considered: to answer configuration-outdated and try other guards. A guard that knows of a withdrawal would then no longer stop the request, and one that doesn't could run it.

TestGuardDeniesOnlyWithAProof failed before the change (key-withdrawn, no-route).

--- a/guard/cause_test.go
+++ b/guard/cause_test.go
@@ -22,6 +22,8 @@
 // service in the test, and "booking", whose attempts call none.
 type twoRoutes struct{}
 
+func (twoRoutes) ProvenNewest(time.Time) bool { return true }
+
 func (twoRoutes) Current() snapshot.Snapshot {
 	return snapshot.Snapshot{
 		Revision:    1,
--- a/guard/check.go
+++ b/guard/check.go
@@ -32,6 +32,9 @@
 	// ingress has a newer one, which the guard hasn't received yet; or that a holder of the limit
 	// hasn't.
 	ReasonOutdated = "configuration-outdated"
+	// ReasonUnproven means that the guard's configuration, which isn't older than the ingress's,
+	// doesn't allow the request, and that a newer one may have been accepted by now.
+	ReasonUnproven = "configuration-unproven"
 	ReasonShed     = "backend-shed"
 	// ReasonRetryBudget means that the retry budget of a service that the attempt would
 	// call again is used up.
@@ -54,10 +57,13 @@
 		return ReasonExpired
 	}
 	route, reason := permitted(s, e)
-	if reason != reasonNone && s.Revision < e.Revision {
+	switch {
+	case reason == reasonNone:
+	case s.Revision < e.Revision:
 		return ReasonOutdated
-	}
-	if reason != reasonNone {
+	case !g.Configuration.ProvenNewest(now):
+		return ReasonUnproven
+	default:
 		return reason
 	}
 	if !s.InService(g.self.Datacentre) {
--- a/guard/departure_test.go
+++ b/guard/departure_test.go
@@ -28,6 +28,8 @@
 // oneService is a configuration with the service "rounds".
 type oneService struct{}
 
+func (oneService) ProvenNewest(time.Time) bool { return true }
+
 func (oneService) Current() snapshot.Snapshot {
 	return snapshot.New(1).WithService(service.New("rounds")).Index()
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -43,9 +43,11 @@
 // backend servers, and between two checks of Drain.
 const tickInterval = 50 * time.Millisecond
 
-// Configuration returns the snapshot of the configuration in force.
+// Configuration holds the snapshot of the configuration in force. ProvenNewest reports whether it
+// is certain that no newer one has been accepted for long.
 type Configuration interface {
 	Current() snapshot.Snapshot
+	ProvenNewest(now time.Time) bool
 }
 
 // Leg runs a request on a backend server. Its errors wrap leg.ErrNotSent or leg.ErrUnknown.
--- a/guard/outdated_test.go
+++ b/guard/outdated_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"berylpass/attempt/id"
 	"berylpass/config/class"
@@ -22,7 +23,9 @@
 
 // withoutNewKey is a configuration of revision 1 in which the organisation "library" has no
 // key. Its route "reserve" needs one.
-type withoutNewKey struct{}
+type withoutNewKey struct{ unproven bool }
+
+func (c withoutNewKey) ProvenNewest(time.Time) bool { return !c.unproven }
 
 func (withoutNewKey) Current() snapshot.Snapshot {
 	return snapshot.New(1).WithDatacentre(datacentre.New("srem", "wielkopolska")).WithService(service.New("rounds")).
@@ -83,6 +86,27 @@
 	}
 }
 
+// TestGuardDeniesOnlyWithAProof guards against a 401 for the whole fleet by a guard whose
+// configuration is newer than the ingress's, and yet not the newest, as after a cut of both: a key
+// or route that it doesn't have may have been added again.
+func TestGuardDeniesOnlyWithAProof(t *testing.T) {
+	for unproven, wanted := range map[bool][2]string{false: {ReasonKeyWithdrawn, ReasonNoRoute}, true: {ReasonUnproven, ReasonUnproven}} {
+		g := New(member.New("vm-1", "srem").WithIncarnation(1), Parts{
+			Configuration: withoutNewKey{unproven: unproven}, Observer: &stateRecorder{states: map[backend.ID]backend.State{}}, Limit: exhausted{},
+		})
+		defer g.Close()
+		for n, route := range []string{"reserve", "old-route"} {
+			e := hop.Envelope{
+				Attempt: id.New("vm-2", 1, uint64(n)), Backend: "i-1", Incarnation: 1, Route: route,
+				Organisation: "library", KeyID: "k1", Revision: 0, Expires: 5000, Class: class.Reservation,
+			}
+			if _, got := g.Run(context.Background(), e, leg.Request{Method: "POST", Target: "/"}); got.Reason != wanted[n] {
+				t.Errorf("unproven %t, %s: reason %s, want %s", unproven, route, got.Reason, wanted[n])
+			}
+		}
+	}
+}
+
 // TestOutdatedGuardDoesNotRefuseByItsLimits guards against a 429 by a guard that hasn't
 // received a raised limit yet.
 func TestOutdatedGuardDoesNotRefuseByItsLimits(t *testing.T) {
--- a/guard/registry_test.go
+++ b/guard/registry_test.go
@@ -31,6 +31,8 @@
 // noConfiguration is a configuration before the first revision.
 type noConfiguration struct{}
 
+func (noConfiguration) ProvenNewest(time.Time) bool { return true }
+
 func (noConfiguration) Current() snapshot.Snapshot { return snapshot.Snapshot{} }
 
 func newGuard(t *testing.T) (*Guard, *stateRecorder) {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -218,7 +218,7 @@
 // whose configuration is below the revision that this ingress used doesn't decide for others.
 func refusedEverywhere(r hop.Report, revision uint64) bool {
 	switch r.Reason {
-	case guard.ReasonKeyWithdrawn, guard.ReasonNoRoute, guard.ReasonOverLimit, guard.ReasonNoHolder:
+	case guard.ReasonKeyWithdrawn, guard.ReasonNoRoute, guard.ReasonUnproven, guard.ReasonOverLimit, guard.ReasonNoHolder:
 		return r.Revision >= revision
 	case guard.ReasonExpired:
 		return true
--- a/ingress/outdated_test.go
+++ b/ingress/outdated_test.go
@@ -91,6 +91,17 @@
 	}
 }
 
+// TestUnprovenRefusalIsNoDenial guards against a 401 by a guard whose configuration is newer than
+// that of the ingress, but perhaps not the newest. The key may also have been withdrawn, so no
+// other guard is tried.
+func TestUnprovenRefusalIsNoDenial(t *testing.T) {
+	h := &refusingHop{reason: guard.ReasonUnproven, revision: 3}
+	w := request(keyedConfiguration{}, h, fakeLimit{}, "/fields", knownSecret)
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" || h.attempts != 1 {
+		t.Errorf("status %d, Retry-After %q after %d attempts; want 503 with it after 1", w.Code, w.Header().Get("Retry-After"), h.attempts)
+	}
+}
+
 // TestOutdatedIngressDeniesNothing guards against a 401 or 404 for a new key or route from a
 // daemon that was cut off, paused or restarted and has an older configuration than the fleet.
 func TestOutdatedIngressDeniesNothing(t *testing.T) {
