fleet/instance: an earlier process of a departed ID doesn't serve

PROTOCOL allows each step: an ID may be used again, and a heartbeat may arrive after its sender has crashed and a new process has registered.

Cause: a departure kept out only the process that it names. Before a restart, the later process at the address keeps earlier ones out; a restarted daemon has only the departures.

Change: a heartbeat of a serving process whose incarnation is below that of a departed process with the same ID is invalid. Ruled out: an earlier process with another ID at the address: it answers 421 to requests that name that ID.

TestRestoredDepartures ("later process with the same ID") and TestStaleHeartbeatsAreRejected failed before the change.

--- a/fleet/instance/instance.go
+++ b/fleet/instance/instance.go
@@ -5,7 +5,7 @@
 // account. Of the heartbeats of one process, only those with a sequence number above the
 // last accepted one are valid; of two processes at one address, only those of the one with
 // the higher incarnation. A process that has announced that it drains or leaves, or that
-// is gone, never serves again. If a removal states no incarnation and no process of that ID
+// is gone, never serves again, nor does an earlier one of the same ID. If a removal states no incarnation and no process of that ID
 // is known, as after a restart of the daemon, the ID serves only after the time in which
 // late heartbeats may still arrive.
 //
@@ -76,7 +76,7 @@
 	if last, known := t.accepted[p]; known && sequence <= last.sequence {
 		return false
 	}
-	if b.State == backend.Serving && (t.retired[p] || t.mayBeLate(now, b.ID)) {
+	if b.State == backend.Serving && (t.retired[p] || b.Incarnation < t.LatestRetired(b.ID) || t.mayBeLate(now, b.ID)) {
 		return false
 	}
 	for other, last := range t.accepted {
--- a/fleet/instance/instance_test.go
+++ b/fleet/instance/instance_test.go
@@ -40,7 +40,8 @@
 			{first, 1, false, true, 0}, {noIncarnation, 0, true, true, 0}, {noIncarnation, 0, true, false, time.Second},
 			{first, 2, false, false, 0}, {newBackend("i-1", "a:1", 300), 1, false, true, time.Second},
 		},
-		"removal before any heartbeat": {{first, 0, true, false, 0}, {first, 1, false, false, 0}},
+		"removal of a later process with the same ID": {{newBackend("i-1", "a:1", 300), 0, true, false, 0}, {first, 9, false, false, 0}},
+		"removal before any heartbeat":                {{first, 0, true, false, 0}, {first, 1, false, false, 0}},
 	} {
 		table, now := New(), time.Unix(1_700_000_000, 0)
 		for n, s := range steps {
--- a/guard/departure_test.go
+++ b/guard/departure_test.go
@@ -79,7 +79,9 @@
 }
 
 // TestRestoredDepartures checks that a departure of an earlier run keeps late heartbeats out:
-// for good if the incarnation is known, else while they may still arrive.
+// for good if the incarnation is known, else while they may still arrive. A process with the same ID
+// and a lower incarnation is an earlier one: requests that name the ID would run on the process
+// that has left.
 func TestRestoredDepartures(t *testing.T) {
 	for name, test := range map[string]struct {
 		incarnation uint64
@@ -88,6 +90,7 @@
 	}{
 		"same process":                       {42, time.Hour, false},
 		"earlier process":                    {41, 0, true},
+		"later process with the same ID":     {43, 0, false},
 		"no incarnation, a second ago":       {0, time.Second, false},
 		"no incarnation, some minutes ago":   {0, 5 * time.Minute, true},
 		"no incarnation, clock was set back": {0, -time.Second, false},
