fleet/instance: draining of a replaced process is remembered

What backend servers saw (by test): a draining heartbeat of a process whose address a later process has taken was acknowledged and neither kept nor remembered. After a restart of the daemon, a late heartbeat of the process from before was valid.

Cause: the heartbeat was invalid by its incarnation, so nothing was recorded, and the answer is 200 for all but departures that could not be kept.

Change: an invalid draining heartbeat of a replaced process retires that process, so that the guard keeps its departure before it acknowledges. The process at the address isn't touched.

TestDrainingOfAReplacedProcessIsKept failed before the change: kept 0 times.

--- a/fleet/instance/instance.go
+++ b/fleet/instance/instance.go
@@ -71,6 +71,10 @@
 func (t *Table) Accept(now time.Time, b backend.Backend, sequence uint64) bool {
 	p := process{id: b.ID, incarnation: b.Incarnation}
 	if b.Incarnation < t.latestIncarnation[b.Address] {
+		// The process is acknowledged as draining, so it must be remembered as such.
+		if b.State != backend.Serving {
+			t.end(p)
+		}
 		return false
 	}
 	if last, known := t.accepted[p]; known && sequence <= last.sequence {
--- a/guard/departure_test.go
+++ b/guard/departure_test.go
@@ -63,6 +63,26 @@
 	}
 }
 
+// TestDrainingOfAReplacedProcessIsKept guards against the acknowledgement of a draining heartbeat
+// that is then forgotten, because another process has been seen at the address: after a restart of
+// the daemon a late heartbeat from before would bring the process back.
+func TestDrainingOfAReplacedProcessIsKept(t *testing.T) {
+	g, _ := newGuard(t)
+	departures := &failingDepartures{}
+	g.Departures = departures
+	later := newProcess().WithIncarnation(43)
+	later.ID = "i-2"
+	if err := g.Heartbeat(later, 1, 0); err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Heartbeat(newProcess().WithState(backend.Draining), 2, 0); err != nil || departures.kept != 1 {
+		t.Errorf("draining: %v, kept %d times; want it acknowledged and kept once", err, departures.kept)
+	}
+	if got := g.Backends(); len(got) != 1 || got[0].ID != "i-2" || got[0].State != backend.Serving {
+		t.Errorf("got %v, want i-2 serving", got)
+	}
+}
+
 // TestDrainingOfAnUnknownServiceIsNotAcknowledged guards against a draining heartbeat that is
 // acknowledged and ignored because the configuration doesn't have the service yet.
 func TestDrainingOfAnUnknownServiceIsNotAcknowledged(t *testing.T) {
