fleet/departure/keeper: newcomers don't vouch for the copies

Likewise, a holder that had lost its copies in a restart counted as heard, and an unreachable holder with the only remaining copy wasn't waited for.

Change: a daemon that has run for less than the longest delay of a heartbeat (15 s) states that in its answer. Such holders count only if all holders have answered, since then none is left to ask. A peer passes on a complete answer only if it has read the member records or has run for 3 s, the time in which the others find it. Otherwise another peer is asked 0.25 s later, as before. A daemon that restarts alone asks daemons that have run for long, so nothing changes for it, with or without the store.

Ruled out: waiting for all holders always (a holder that is dead and not yet declared so would cost 3 s at each restart). Cost: after a restart of all daemons, one that doesn't come back can delay the first heartbeats to 3 s after the start.

TestNewcomerDoesNotAnswerForTheFleet and TestRestartedHolderIsNoProof failed before the change (Complete:true without the copy). The daemons of the other tests of this package have now run for a minute, which is what those tests mean.

--- a/fleet/departure/holder/holder.go
+++ b/fleet/departure/holder/holder.go
@@ -4,7 +4,8 @@
 // The holders are chosen by rendezvous hashing and spread over the data centres, so that all
 // daemons that know the same members choose the same ones, and the loss of a data centre
 // leaves copies elsewhere. A departure counts as kept if Copies holders have it. A daemon that
-// has heard Answers holders has heard at least one of those that have it.
+// has heard Answers holders which haven't lost their copies in a restart has heard at least one of
+// those that have it.
 //
 // # Usage
 //
--- a/fleet/departure/keeper/keeper.go
+++ b/fleet/departure/keeper/keeper.go
@@ -57,6 +57,9 @@
 // Fleet is the part of the membership that a Keeper uses.
 type Fleet interface {
 	Members() []member.Member
+	// RecordsRead reports whether the member records have been read from the store, so that
+	// Members returns all of them.
+	RecordsRead() bool
 }
 
 // Caller calls methods of other daemons.
@@ -86,6 +89,7 @@
 // Keeper keeps departures. It is safe for concurrent use.
 type Keeper struct {
 	Parts
+	started       time.Time
 	list          *departure.List
 	storeAnswered chan struct{}
 	ctx           context.Context
@@ -103,7 +107,7 @@
 func New(parts Parts) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{
-		Parts: parts, list: departure.New(parts.Store, parts.Self, parts.Clock),
+		Parts: parts, started: parts.Clock(), list: departure.New(parts.Store, parts.Self, parts.Clock),
 		storeAnswered: make(chan struct{}, 1), ctx: ctx, cancel: cancel, replica: replica.New(),
 	}
 	k.wait.Go(func() {
--- a/fleet/departure/keeper/keeper_test.go
+++ b/fleet/departure/keeper/keeper_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"berylpass/fleet/departure"
+	"berylpass/fleet/departure/recovery"
 	"berylpass/fleet/member"
 	"berylpass/store/memory"
 	"berylpass/store/object"
@@ -24,24 +25,34 @@
 	// cut holds the daemons that can't be called.
 	cut   map[member.ID]bool
 	calls int
+	// elapsed is how far the clock of all daemons is ahead of the real one.
+	elapsed atomic.Int64
 }
 
 var errCut = errors.New("daemon can't be reached")
 
-// newNetwork returns n daemons, vm-1 to vm-n, and their store.
+// newNetwork returns n daemons, vm-1 to vm-n, and their store. The daemons have run for a minute.
 func newNetwork(t *testing.T, n int) *network {
 	f := &network{t: t, store: memory.New(), keepers: map[member.ID]*Keeper{}, cut: map[member.ID]bool{}}
 	for i := range n {
 		f.start(vm(i + 1))
 	}
+	f.elapsed.Add(int64(time.Minute))
 	return f
 }
 
+func (f *network) now() time.Time { return time.Now().Add(time.Duration(f.elapsed.Load())) }
+
 func vm(n int) member.ID { return member.ID(fmt.Sprint("vm-", n)) }
 
 // start starts a daemon, or starts it again without what it knew.
 func (f *network) start(id member.ID) *Keeper {
-	k := New(Parts{Self: id, Store: f.store, Fleet: f, Caller: f, Clock: time.Now, Observer: f})
+	return f.startIn(f, id)
+}
+
+// startIn starts a daemon that knows the members of a fleet.
+func (f *network) startIn(fleet Fleet, id member.ID) *Keeper {
+	k := New(Parts{Self: id, Store: f.store, Fleet: fleet, Caller: f, Clock: f.now, Observer: f})
 	f.t.Cleanup(k.Close)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -72,6 +83,24 @@
 	return members
 }
 
+func (f *network) RecordsRead() bool { return true }
+
+// newcomers is the Fleet of a daemon that has just started and knows only others that have.
+type newcomers struct {
+	members     []member.ID
+	recordsRead bool
+}
+
+func (n newcomers) RecordsRead() bool { return n.recordsRead }
+
+func (n newcomers) Members() []member.Member {
+	var members []member.Member
+	for _, id := range n.members {
+		members = append(members, member.New(id, "srem"))
+	}
+	return members
+}
+
 func (f *network) Call(_ context.Context, to member.ID, method string, args, reply any) error {
 	f.mu.Lock()
 	f.calls++
@@ -138,6 +167,62 @@
 	}
 }
 
+// TestNewcomerDoesNotAnswerForTheFleet guards against a late heartbeat that is accepted because the
+// peer that was asked for the copies has restarted too, while the store is unavailable, and knows
+// none of the daemons that hold them yet.
+func TestNewcomerDoesNotAnswerForTheFleet(t *testing.T) {
+	f := newNetwork(t, 7)
+	f.store.SetFaults(memory.Faults{Unavailable: true})
+	if err := f.keepers["vm-1"].Add("i-1", 42); err != nil {
+		t.Fatal(err)
+	}
+	known := newcomers{members: []member.ID{"vm-1", "vm-2"}}
+	f.startIn(known, "vm-2")
+	if got := f.recalled("vm-2"); got.Complete {
+		t.Errorf("a peer that knows no holder tells %+v, want it incomplete", got)
+	}
+	f.elapsed.Add(int64(recovery.MaxWait))
+	if got := f.recalled("vm-2"); !got.Complete {
+		t.Errorf("a peer that nobody has probed in the meantime tells %+v, want it complete", got)
+	}
+	known.recordsRead = true
+	f.startIn(known, "vm-2")
+	if got := f.recalled("vm-2"); !got.Complete {
+		t.Errorf("a peer that has read the member records tells %+v, want it complete", got)
+	}
+}
+
+// TestRestartedHolderIsNoProof guards against a late heartbeat that is accepted because a holder
+// that has lost its copies in a restart counts like one that never had any.
+func TestRestartedHolderIsNoProof(t *testing.T) {
+	f := newNetwork(t, 5)
+	f.store.SetFaults(memory.Faults{Unavailable: true})
+	for _, id := range []member.ID{"vm-4", "vm-5"} {
+		f.setCut(id, true)
+	}
+	if err := f.keepers["vm-1"].Add("i-1", 42); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []member.ID{"vm-4", "vm-5"} {
+		f.setCut(id, false)
+	}
+	f.start("vm-2")
+	f.setCut("vm-3", true)
+	if got := f.recalled("vm-4"); got.Complete {
+		t.Errorf("without vm-3, which has the only copy: %+v, want it incomplete", got)
+	}
+	f.setCut("vm-3", false)
+	if got := f.recalled("vm-4"); !got.Complete || len(got.Processes) != 1 {
+		t.Errorf("with vm-3: %+v, want it complete with the departure", got)
+	}
+	for _, id := range []member.ID{"vm-3", "vm-4", "vm-5"} {
+		f.start(id)
+	}
+	if got := f.recalled("vm-4"); !got.Complete {
+		t.Errorf("all holders have restarted and can tell nothing: %+v, want it complete", got)
+	}
+}
+
 // TestDepartureThatNobodyKeepsIsNotAcknowledged guards against the acknowledgement of a
 // departure that only the process itself knows of.
 func TestDepartureThatNobodyKeepsIsNotAcknowledged(t *testing.T) {
--- a/fleet/departure/keeper/receiver.go
+++ b/fleet/departure/keeper/receiver.go
@@ -4,9 +4,12 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"berylpass/fleet/departure"
 	"berylpass/fleet/departure/holder"
+	"berylpass/fleet/departure/recovery"
+	"berylpass/fleet/instance"
 	"berylpass/fleet/member"
 	"berylpass/mesh"
 )
@@ -35,8 +38,11 @@
 // Copies is the answer to a Query.
 type Copies struct {
 	Processes []departure.Process
-	// Complete reports whether enough holders were heard; see holder.Plan.Answers.
+	// Complete reports whether no daemon that wasn't heard can be expected to have further copies.
 	Complete bool
+	// Newcomer reports whether the daemon that answers has started so recently that it may have lost
+	// copies which still matter.
+	Newcomer bool
 }
 
 // Receiver answers other daemons' calls by net/rpc.
@@ -64,23 +70,30 @@
 	k.mu.Lock()
 	own := k.replica.Of(k.Clock(), q.Daemon)
 	k.mu.Unlock()
-	*reply = Copies{Processes: own}
+	*reply = Copies{Processes: own, Newcomer: k.uptime() < instance.MaxDelay}
 	if q.PassOn {
-		*reply = k.ask(q, own)
+		*reply = k.ask(q, *reply)
 	}
 	return nil
 }
 
+// uptime returns the time since this daemon has started.
+func (k *Keeper) uptime() time.Duration { return k.Clock().Sub(k.started) }
+
+// knowsFleet reports whether this daemon knows all members of the fleet: it has read their records,
+// or the others have had the time to find it.
+func (k *Keeper) knowsFleet() bool { return k.Fleet.RecordsRead() || k.uptime() >= recovery.MaxWait }
+
 // ask asks the holders of a daemon's departures, and the store if that is wanted, and returns
 // what they and this daemon have.
-func (k *Keeper) ask(q Query, own []departure.Process) Copies {
+func (k *Keeper) ask(q Query, own Copies) Copies {
 	ctx, cancel := context.WithTimeout(k.ctx, holderTimeout)
 	defer cancel()
-	plan := holder.New(q.Daemon, k.Fleet.Members())
+	knowsFleet, plan := k.knowsFleet(), holder.New(q.Daemon, k.Fleet.Members())
 	var mu sync.Mutex
 	var calls sync.WaitGroup
-	found := Copies{Processes: own}
-	heard := 0
+	found := Copies{Processes: own.Processes}
+	var heard tally
 	if q.ReadList {
 		calls.Go(func() {
 			// Without the store, the copies are all that is known.
@@ -94,24 +107,41 @@
 	}
 	for _, id := range plan.Holders() {
 		calls.Go(func() {
-			var reply Copies
-			var err error
+			reply, err := own, error(nil)
 			if id != k.Self {
+				reply = Copies{}
 				err = k.Caller.Call(ctx, id, recallMethod, Query{Daemon: q.Daemon}, &reply)
 			}
 			mu.Lock()
 			defer mu.Unlock()
 			if err == nil {
-				heard++
+				heard = heard.with(reply)
 			}
 			found = found.with(reply.Processes)
 		})
 	}
 	calls.Wait()
-	found.Complete = heard > 0 && heard >= plan.Answers()
+	found.Complete = knowsFleet && heard.suffices(plan)
 	return found
 }
 
+// tally counts the holders that were heard, and how many of them are newcomers.
+type tally struct{ heard, newcomers int }
+
+func (t tally) with(reply Copies) tally {
+	t.heard++
+	if reply.Newcomer {
+		t.newcomers++
+	}
+	return t
+}
+
+// suffices reports whether the holders that weren't heard can't be the only ones with a copy. A
+// newcomer without a copy proves nothing, but if all holders were heard, there is none left to ask.
+func (t tally) suffices(p holder.Plan) bool {
+	return t.heard > 0 && (t.heard == len(p.Holders()) || t.heard-t.newcomers >= p.Answers())
+}
+
 // with returns c with further processes, without repetitions.
 func (c Copies) with(processes []departure.Process) Copies {
 	c.Processes = slices.Clone(c.Processes)
--- a/fleet/instance/instance.go
+++ b/fleet/instance/instance.go
@@ -26,8 +26,8 @@
 const (
 	// maxRetired is the maximum number of retired processes that are remembered.
 	maxRetired = 4096
-	// maxDelay is the maximum delay of a heartbeat; the platform's are late by seconds.
-	maxDelay = 15 * time.Second
+	// MaxDelay is the maximum delay of a heartbeat; the platform's are late by seconds.
+	MaxDelay = 15 * time.Second
 )
 
 // process identifies one run of a backend server.
@@ -101,7 +101,7 @@
 // an incarnation, by the process that was removed.
 func (t *Table) mayBeLate(now time.Time, id backend.ID) bool {
 	removedAt, ok := t.removalsWithoutIncarnation[id]
-	return ok && now.Sub(removedAt) < maxDelay
+	return ok && now.Sub(removedAt) < MaxDelay
 }
 
 // Remove processes the removal of a backend server, with incarnation 0 if it states
@@ -121,7 +121,7 @@
 		t.markRetired(process{id: id, incarnation: incarnation})
 	case t.LatestRetired(id) == 0:
 		maps.DeleteFunc(t.removalsWithoutIncarnation, func(_ backend.ID, removedAt time.Time) bool {
-			return now.Sub(removedAt) >= maxDelay
+			return now.Sub(removedAt) >= MaxDelay
 		})
 		t.removalsWithoutIncarnation[id] = now
 	}
--- a/fleet/instance/instance_test.go
+++ b/fleet/instance/instance_test.go
@@ -34,7 +34,7 @@
 		"restart with the same ID":             {{first, 9, false, true, 0}, {newBackend("i-1", "a:1", 300), 1, false, true, 0}, {first, 10, false, false, 0}},
 		"late removal of the previous process": {{newBackend("i-1", "a:1", 300), 1, false, true, 0}, {first, 0, true, false, 0}, {newBackend("i-1", "a:1", 300), 2, false, true, 0}},
 		"removal without an incarnation of an unknown process": {
-			{noIncarnation, 0, true, false, 0}, {first, 9, false, false, time.Second}, {newBackend("i-1", "a:1", 300), 1, false, true, maxDelay},
+			{noIncarnation, 0, true, false, 0}, {first, 9, false, false, time.Second}, {newBackend("i-1", "a:1", 300), 1, false, true, MaxDelay},
 		},
 		"removal without an incarnation, repeated": {
 			{first, 1, false, true, 0}, {noIncarnation, 0, true, true, 0}, {noIncarnation, 0, true, false, time.Second},
