limit/enforcer: a holder is outdated only if its limit differs

After each change of the configuration some daemons are behind for a second or two. Borrow now states the limit too, and a holder with the same limit decides.

TestHolderWithTheSameLimitDecides fails ("outdated holders") if the revision alone is compared.

--- a/fleet/instance/instance.go
+++ b/fleet/instance/instance.go
@@ -5,9 +5,9 @@
 // account. Of the heartbeats of one process, only those with a sequence number above the
 // last accepted one are valid; of two processes at one address, only those of the one with
 // the higher incarnation. A process that has announced that it drains or leaves, or that
-// is gone, never serves again, nor does an earlier one of the same ID. If a removal states no incarnation and no process of that ID
-// is known, as after a restart of the daemon, the ID serves only after the time in which
-// late heartbeats may still arrive.
+// is gone, never serves again, nor does an earlier one of the same ID. If a removal states no
+// incarnation and no process of that ID is known, as after a restart of the daemon, the ID serves
+// only after the time in which late heartbeats may still arrive.
 //
 // # Usage
 //
--- a/limit/enforcer/enforcer.go
+++ b/limit/enforcer/enforcer.go
@@ -73,8 +73,8 @@
 	// ErrNoHolder means that no holder of a share of the organisation's limit could be reached,
 	// or that the organisation has no limit.
 	ErrNoHolder = errors.New("no holder of the organisation's limit can be reached")
-	// ErrOutdated means that a holder which has no token has an older configuration than this
-	// daemon, whose limit may be higher.
+	// ErrOutdated means that a holder which has no token has another limit than this daemon, from
+	// an older configuration.
 	ErrOutdated = errors.New("a holder of the organisation's limit has an older configuration")
 	// ErrClosed means that the enforcer has been closed.
 	ErrClosed = errors.New("enforcer is closed")
@@ -156,7 +156,7 @@
 	// Clock returns the current time with a monotonic reading.
 	Clock func() time.Time
 	// HeardRevision is called with the configuration revision of a daemon that asks for tokens
-	// by newer limits than this one has; nil if nobody needs to know. It must not block.
+	// of a newer limit than this one has; nil if nobody needs to know. It must not block.
 	HeardRevision func(revision uint64, from member.ID)
 }
 
@@ -341,7 +341,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e.mu.Lock()
-	args := Borrow{Organisation: organisation, Tokens: 1, Revision: e.revision, From: e.options.Self}
+	limit, _, _ := e.pool.Describe(e.options.Clock(), organisation)
+	args := Borrow{Organisation: organisation, Tokens: 1, Revision: e.revision, From: e.options.Self, Limit: limit}
 	e.mu.Unlock()
 	var reply Lent
 	if err := e.options.Mesh.Call(ctx, holder, ServiceName+".Lend", args, &reply); err != nil {
--- a/limit/enforcer/outdated_test.go
+++ b/limit/enforcer/outdated_test.go
@@ -49,16 +49,22 @@
 	}
 }
 
-// TestUpToDateHolderDecides checks that a limit that is used up refuses as before, also if the
-// daemon that asks is the outdated one.
-func TestUpToDateHolderDecides(t *testing.T) {
+// TestHolderWithTheSameLimitDecides checks that a limit that is used up refuses as over the limit
+// if the holders have it, whether they or the daemon that asks have missed another change.
+func TestHolderWithTheSameLimitDecides(t *testing.T) {
 	s := snapshot.New(1).WithOrganisation(organisation.New("parish").WithLimit(1, 3)).Index()
+	newer := snapshot.New(2).WithOrganisation(organisation.New("parish").WithLimit(1, 3)).
+		WithOrganisation(organisation.New("school").WithLimit(1000, 3000)).Index()
 	now := time.Unix(1000, 0)
-	_, fleet := startFleet(t, 3, s, func() time.Time { return now })
-	for _, e := range fleet[1:] {
-		e.SetConfiguration(snapshot.New(2).WithOrganisation(organisation.New("parish").WithLimit(1, 3)).Index())
-	}
-	if _, err := fleet[0].Draw(context.Background(), "parish"); !errors.Is(err, ErrOverLimit) {
-		t.Errorf("no holder has a token: %v, want ErrOverLimit", err)
+	for name, outdated := range map[string]bool{"holders": true, "daemon that asks": false} {
+		_, fleet := startFleet(t, 3, s, func() time.Time { return now })
+		for n, e := range fleet {
+			if (n == 0) == outdated {
+				e.SetConfiguration(newer)
+			}
+		}
+		if _, err := fleet[0].Draw(context.Background(), "parish"); !errors.Is(err, ErrOverLimit) {
+			t.Errorf("outdated %s: %v, want ErrOverLimit", name, err)
+		}
 	}
 }
--- a/limit/enforcer/receiver.go
+++ b/limit/enforcer/receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"berylpass/fleet/member"
+	"berylpass/limit/pool"
 	"berylpass/mesh"
 )
 
@@ -9,10 +10,11 @@
 type Borrow struct {
 	Organisation string
 	Tokens       int
-	// Revision is the configuration revision of the daemon that asks, From its ID. Earlier builds
-	// don't state them.
+	// Revision is the configuration revision of the daemon that asks, From its ID, and Limit the
+	// limit that it has. Earlier builds state none of them.
 	Revision uint64
 	From     member.ID
+	Limit    pool.Limit
 }
 
 // Lent is the reply of Lend.
@@ -23,8 +25,8 @@
 	Level float64
 	// Holder reports whether the called daemon holds a share of the limit.
 	Holder bool
-	// Outdated reports whether the called daemon has limits of an older configuration than the
-	// daemon that asks.
+	// Outdated reports whether the called daemon has another limit than the daemon that asks, from
+	// an older configuration.
 	Outdated bool
 }
 
@@ -52,7 +54,9 @@
 	if e.closed {
 		return ErrClosed
 	}
-	reply.Outdated = e.revision < args.Revision
-	reply.Tokens, reply.Level, reply.Holder = e.pool.Lend(e.options.Clock(), args.Organisation, min(max(args.Tokens, 0), maxBorrow))
+	now := e.options.Clock()
+	limit, _, _ := e.pool.Describe(now, args.Organisation)
+	reply.Outdated = e.revision < args.Revision && limit != args.Limit
+	reply.Tokens, reply.Level, reply.Holder = e.pool.Lend(now, args.Organisation, min(max(args.Tokens, 0), maxBorrow))
 	return nil
 }
