ingress: a key that a newer guard has refused isn't used again

What callers saw: 401 for a withdrawn key, and 20 ms later 200 for the same key at the same daemon.

Cause: a daemon that is still outdated sends the request to a guard that isn't, and answers 401 by that guard's word. It forgets it at once: the next request goes to a guard that is as outdated as itself, and runs.

Change: the ingress remembers which keys guards have refused as withdrawn by a newer configuration than its own. Until it has that configuration it answers 503 configuration-outdated with Retry-After, for that key only. It hears of the revision from the same answer and fetches it at once. Not 401: a revision in between may have the key again.

TestWithdrawnKeyOnOpenConnections took the first 401 of a daemon for its own; it now waits for one after the daemon's own revision is in force, within the same 2 s, and also checks that no request runs after the first refusal, which it didn't before.

--- a/daemon/key_test.go
+++ b/daemon/key_test.go
@@ -33,8 +33,17 @@
 	withdrawnAt := time.Now()
 	for n := range 3 {
 		address := f.callersAddress(n + 1)
-		f.waitUntil("the key is refused at "+vm(n+1), func() bool {
-			return c.send(address, "POST", "/visits", "", nil).status == http.StatusUnauthorized
+		// The first refusal may come from a guard, while the ingress itself is still outdated and
+		// answers 503 until it has the revision. It must not let the key in again.
+		refused := false
+		f.waitUntil("the key is refused at "+vm(n+1)+", by its own configuration", func() bool {
+			inForce := f.Daemons()[vm(n+1)].Status().Revision == f.snapshot.Revision
+			r := c.send(address, "POST", "/visits", "", nil)
+			if refused && r.outcome != ingress.NotRun {
+				t.Errorf("got %s after a refusal", r)
+			}
+			refused = refused || r.status == http.StatusUnauthorized
+			return inForce && r.status == http.StatusUnauthorized
 		})
 	}
 	took := time.Since(withdrawnAt)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -97,6 +97,7 @@
 	if err == nil {
 		i.Guards.RecordClock(s.target.Guard.ID, s.answer.Report.Incarnation, s.answer.Report.Clock)
 		i.Observer.HeardRevision(s.answer.Report.Revision, s.target.Guard.ID)
+		i.withdrawals.record(s.exchange.caller, s.envelope.Revision, s.answer.Report)
 	}
 	if errors.Is(err, forwarder.ErrMismatch) {
 		i.Observer.AnswerDropped(s.envelope.Attempt)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -168,6 +168,7 @@
 	// lastFailedCall is when a request without a key last failed; nil for never.
 	lastFailedCall atomic.Pointer[time.Time]
 	inFlight       atomic.Int64
+	withdrawals    *withdrawals
 }
 
 // New returns an ingress of the daemon self.
@@ -187,7 +188,7 @@
 	if parts.Random == nil {
 		parts.Random = rand.Float64
 	}
-	return &Ingress{Parts: parts, self: self, retryState: newRetryState(parts.RetryBudget)}
+	return &Ingress{Parts: parts, self: self, retryState: newRetryState(parts.RetryBudget), withdrawals: newWithdrawals()}
 }
 
 // LastFailedCall returns when a request without a key, such as a call of the backend
@@ -256,6 +257,9 @@
 	if err := x.identify(); err != nil {
 		return x, i.denial(now, err)
 	}
+	if i.withdrawals.contains(x.caller, x.snapshot.Revision) {
+		return x, errOutdated
+	}
 	if targetContainsKey(r.URL, info.Key) {
 		return x, errKeyInURL
 	}
--- a/ingress/key.go
+++ b/ingress/key.go
@@ -20,8 +20,8 @@
 	errKeyInURL   = errors.New("API key appears in the request target")
 	errTwoKeys    = errors.New("request has more than one API key")
 	errBody       = errors.New("request body could not be read")
-	// errOutdated reports a request that the configuration in force doesn't allow, and that a
-	// newer one may allow.
+	// errOutdated reports a request that the configuration in force doesn't allow and a newer one
+	// may allow, or the reverse.
 	errOutdated = errors.New("configuration may be outdated")
 )
 
--- a/ingress/reply.go
+++ b/ingress/reply.go
@@ -128,7 +128,7 @@
 		{errTwoKeys, http.StatusBadRequest, "two-keys"},
 		{errBody, http.StatusBadRequest, "body-unreadable"},
 		{ErrNotReady, http.StatusServiceUnavailable, "not-ready"},
-		// errOutdated wraps one of the errors above and so must come after them.
+		// errOutdated may wrap one of the errors above and so must come after them.
 		{errOutdated, http.StatusServiceUnavailable, guard.ReasonOutdated},
 	} {
 		if errors.Is(err, known.err) {
