fleet/departure/keeper: newcomers vouch once the list has been read

Cause: let newcomers count only if all holders answer. After a kill of all daemons all are newcomers, and with a zone cut off most have a holder that can't be reached, so they waited until MaxWait.

Change: the strict rule holds only while nobody can read the list in the store. Once the daemon or the peer has read it, the copies matter only for departures that couldn't be stored, and as many holders suffice as before.

TestNewcomersSufficeOnceTheListIsRead failed before the change, in both cases with the list.

--- a/fleet/departure/keeper/receiver.go
+++ b/fleet/departure/keeper/receiver.go
@@ -93,7 +93,7 @@
 	var mu sync.Mutex
 	var calls sync.WaitGroup
 	found := Copies{Processes: own.Processes}
-	var heard tally
+	heard := tally{listRead: !q.ReadList}
 	if q.ReadList {
 		calls.Go(func() {
 			// Without the store, the copies are all that is known.
@@ -102,6 +102,7 @@
 			defer mu.Unlock()
 			if err == nil {
 				found = found.with(stored)
+				heard.listRead = true
 			}
 		})
 	}
@@ -121,12 +122,16 @@
 		})
 	}
 	calls.Wait()
-	found.Complete = knowsFleet && heard.suffices(plan)
+	found.Complete = heard.suffices(plan, knowsFleet)
 	return found
 }
 
-// tally counts the holders that were heard, and how many of them are newcomers.
-type tally struct{ heard, newcomers int }
+// tally counts the holders that were heard, and how many of them are newcomers. listRead reports
+// whether the list in the store has been read, by the daemon that asks or for it.
+type tally struct {
+	heard, newcomers int
+	listRead         bool
+}
 
 func (t tally) with(reply Copies) tally {
 	t.heard++
@@ -136,10 +141,18 @@
 	return t
 }
 
-// suffices reports whether the holders that weren't heard can't be the only ones with a copy. A
-// newcomer without a copy proves nothing, but if all holders were heard, there is none left to ask.
-func (t tally) suffices(p holder.Plan) bool {
-	return t.heard > 0 && (t.heard == len(p.Holders()) || t.heard-t.newcomers >= p.Answers())
+// suffices reports whether the holders that weren't heard need not be waited for. knowsFleet
+// reports whether the plan is that of the whole fleet. Without the list, the copies are all that is
+// known: a newcomer without a copy proves nothing, but if all holders were heard, there is none left
+// to ask. With it, the copies matter only for departures that couldn't be stored.
+func (t tally) suffices(p holder.Plan, knowsFleet bool) bool {
+	switch {
+	case t.heard == 0:
+		return false
+	case t.listRead:
+		return t.heard >= p.Answers()
+	}
+	return knowsFleet && (t.heard == len(p.Holders()) || t.heard-t.newcomers >= p.Answers())
 }
 
 // with returns c with further processes, without repetitions.
