fleet/departure/holder: a single copy is enough only in a fleet of two

Cause: leaving daemons hold no copies, and "one copy, if there is only one other daemon" counted only those that may hold one. So while all others but one were leaving, one copy was enough, and it was lost with its holder.

Change: Copies counts all other members that aren't dead.

TestLeavingMembersLowerNoBound failed before the change (1 copy).

--- a/fleet/departure/holder/holder.go
+++ b/fleet/departure/holder/holder.go
@@ -31,14 +31,20 @@
 )
 
 // Plan holds the holders of one daemon's departures.
-type Plan struct{ holders []member.ID }
+type Plan struct {
+	holders []member.ID
+	// others is the number of other members that aren't dead.
+	others int
+}
 
 // New returns the plan for the departures of a daemon, given the members of the fleet. Dead
 // and leaving members hold nothing.
 func New(daemon member.ID, members []member.Member) Plan {
-	candidates := slices.DeleteFunc(slices.Clone(members), func(m member.Member) bool {
-		return m.ID == daemon || m.State == member.Dead || m.State == member.Leaving
+	others := slices.DeleteFunc(slices.Clone(members), func(m member.Member) bool {
+		return m.ID == daemon || m.State == member.Dead
 	})
+	p := Plan{others: len(others)}
+	candidates := slices.DeleteFunc(others, func(m member.Member) bool { return m.State == member.Leaving })
 	slices.SortFunc(candidates, func(a, b member.Member) int {
 		return cmp.Or(cmp.Compare(weight(daemon, b.ID), weight(daemon, a.ID)), cmp.Compare(a.ID, b.ID))
 	})
@@ -50,7 +56,6 @@
 		seen[m.Datacentre]++
 	}
 	slices.SortStableFunc(candidates, func(a, b member.Member) int { return cmp.Compare(rank[a.ID], rank[b.ID]) })
-	var p Plan
 	for _, m := range candidates[:min(len(candidates), maxHolders)] {
 		p.holders = append(p.holders, m.ID)
 	}
@@ -61,8 +66,9 @@
 func (p Plan) Holders() []member.ID { return p.holders }
 
 // Copies returns the number of holders that must have a departure before it counts as kept, 0
-// if there are no holders.
-func (p Plan) Copies() int { return min(minCopies, len(p.holders)) }
+// if the daemon is alone. It may exceed the number of holders while members leave: a single copy
+// suffices only in a fleet of two.
+func (p Plan) Copies() int { return min(minCopies, p.others) }
 
 // Answers returns the number of holders that must be heard so that one of those that have a
 // kept departure is among them, 0 if there are no holders.
@@ -70,7 +76,7 @@
 	if len(p.holders) == 0 {
 		return 0
 	}
-	return len(p.holders) - p.Copies() + 1
+	return max(1, len(p.holders)-p.Copies()+1)
 }
 
 // weight returns the rendezvous hash (FNV-1a) of the pair.
--- a/fleet/departure/holder/holder_test.go
+++ b/fleet/departure/holder/holder_test.go
@@ -65,3 +65,22 @@
 		}
 	}
 }
+
+// TestLeavingMembersLowerNoBound guards against a departure that is acknowledged with a single
+// copy because all other members happen to leave: the loss of its one holder would lose it.
+func TestLeavingMembersLowerNoBound(t *testing.T) {
+	for _, test := range []struct {
+		state           member.State
+		copies, answers int
+	}{
+		{member.Serving, 2, 1},
+		{member.Leaving, 2, 1},
+		{member.Dead, 1, 1},
+	} {
+		members := fleet(3)
+		members[2] = members[2].WithState(test.state)
+		if p := New("vm-0", members); p.Copies() != test.copies || p.Answers() != test.answers {
+			t.Errorf("one member serves, one is %v: %d copies, %d answers; want %d, %d", test.state, p.Copies(), p.Answers(), test.copies, test.answers)
+		}
+	}
+}
