config, picker, roster: interfaces for regions, priorities, large answers and versions

Change: routes carry priority, large answers and home regions, organisations priority and home regions; backend servers their software's version, which is gossiped; the picker knows the region of each backend server. Nothing else decides by the new fields yet.

--- a/choice/chooser/chooser.go
+++ b/choice/chooser/chooser.go
@@ -232,8 +232,11 @@
 
 // updateTarget passes the state of a target to the picker. The caller must hold c.mu.
 func (c *Chooser) updateTarget(now time.Time, t Target) {
+	region, own := c.snapshot.Datacentres[t.Guard.Datacentre].Region, c.snapshot.Datacentres[c.options.Self.Datacentre].Region
 	c.picker.Update(now, picker.BackendUpdated{
 		Backend:        t.Backend,
+		Region:         region,
+		SameRegion:     region == own,
 		Datacentre:     t.Guard.Datacentre,
 		SameDatacentre: t.Guard.Datacentre == c.options.Self.Datacentre,
 		SameVM:         t.Guard.ID == c.options.Self.ID,
--- a/choice/picker/message.go
+++ b/choice/picker/message.go
@@ -19,6 +19,9 @@
 	// SameDatacentre and SameVM report whether the backend server runs in the data centre and on the VM of this
 	// ingress.
 	SameDatacentre, SameVM bool
+	// Region is the region of its data centre, empty if unknown; SameRegion reports whether this ingress is in it.
+	Region     string
+	SameRegion bool
 	// InService reports whether its data centre is in service and the daemon on its VM isn't leaving the fleet.
 	InService bool
 }
--- a/choice/picker/pick.go
+++ b/choice/picker/pick.go
@@ -70,6 +70,12 @@
 	RunOnce bool
 	// BodyBytes is the length of the request body.
 	BodyBytes int
+	// LargeAnswer reports whether the answer is likely to be large.
+	LargeAnswer bool
+	// Priority ranks the request among others of its service; 0 is the most urgent.
+	Priority int
+	// HomeRegions are the only regions in which the request may run; nil for all. Empty and not nil allows none.
+	HomeRegions []string
 }
 
 // PickFor returns a backend server for the request that req describes. Its error wraps ErrNoBackend.
--- a/choice/picker/picker.go
+++ b/choice/picker/picker.go
@@ -130,7 +130,7 @@
 	}
 	s.backend = e.Backend
 	s.datacentre, s.sameDatacentre, s.inService = e.Datacentre, e.SameDatacentre, e.InService
-	s.sameVM = e.SameVM
+	s.sameVM, s.region, s.sameRegion = e.SameVM, e.Region, e.SameRegion
 	g.invalidate()
 }
 
--- a/choice/picker/table.go
+++ b/choice/picker/table.go
@@ -49,6 +49,8 @@
 	datacentre     string
 	sameDatacentre bool
 	sameVM         bool
+	region         string
+	sameRegion     bool
 	inService      bool
 	group          *group
 	path           *path
@@ -283,7 +285,7 @@
 // unchanged reports whether an update brings nothing new about s.
 func (s *server) unchanged(e BackendUpdated) bool {
 	return s.backend == e.Backend && s.datacentre == e.Datacentre && s.sameDatacentre == e.SameDatacentre &&
-		s.sameVM == e.SameVM && s.inService == e.InService
+		s.region == e.Region && s.sameRegion == e.SameRegion && s.sameVM == e.SameVM && s.inService == e.InService
 }
 
 // reset drops the history of an earlier incarnation.
--- a/config/organisation/organisation.go
+++ b/config/organisation/organisation.go
@@ -27,6 +27,12 @@
 	// Class is the class of the organisation's requests instead of the route's; nil for the
 	// route's.
 	Class *class.Class
+	// Priority is the priority of the organisation's requests instead of the route's; nil for the
+	// route's.
+	Priority *int
+	// HomeRegions are the only regions in which the organisation's requests may run and their bodies
+	// may be kept; empty for all. If the route has home regions too, both bind.
+	HomeRegions []string
 }
 
 // New returns an organisation without keys and with a rate and burst of 0.
@@ -69,6 +75,29 @@
 	return o
 }
 
+// WithPriority returns a copy whose requests have the priority on every route; 0 is the most
+// urgent.
+func (o Organisation) WithPriority(priority int) Organisation {
+	o.Priority = &priority
+	return o
+}
+
+// PriorityOf returns the priority of the organisation's requests on a route whose priority is
+// ofRoute.
+func (o Organisation) PriorityOf(ofRoute int) int {
+	if o.Priority != nil {
+		return *o.Priority
+	}
+	return ofRoute
+}
+
+// WithHomeRegions returns a copy whose requests run in the named regions only; in all if there
+// is no name.
+func (o Organisation) WithHomeRegions(regions ...string) Organisation {
+	o.HomeRegions = slices.Clone(regions)
+	return o
+}
+
 // ClassOf returns the class of the organisation's requests on a route whose class is c.
 func (o Organisation) ClassOf(c class.Class) class.Class {
 	if o.Class != nil {
--- a/config/route/route.go
+++ b/config/route/route.go
@@ -55,6 +55,14 @@
 	TargetLatency time.Duration
 	// Split shares the requests out between services by weight; empty if all go to Service.
 	Split []SplitPart
+	// Priority ranks the route's requests while there is too little room for all; 0 is the most
+	// urgent.
+	Priority int
+	// LargeAnswer reports whether answers are too large to be kept whole at each daemon.
+	LargeAnswer bool
+	// HomeRegions are the only regions in which requests may run and their bodies may be kept;
+	// empty for all.
+	HomeRegions []string
 }
 
 // SplitPart is the part of a split route's requests that goes to one service.
@@ -125,6 +133,25 @@
 	return r
 }
 
+// WithPriority returns a copy whose requests have the priority; 0 is the most urgent.
+func (r Route) WithPriority(priority int) Route {
+	r.Priority = priority
+	return r
+}
+
+// WithLargeAnswer returns a copy with LargeAnswer set.
+func (r Route) WithLargeAnswer(large bool) Route {
+	r.LargeAnswer = large
+	return r
+}
+
+// WithHomeRegions returns a copy whose requests run in the named regions only; in all if there
+// is no name.
+func (r Route) WithHomeRegions(regions ...string) Route {
+	r.HomeRegions = slices.Clone(regions)
+	return r
+}
+
 // Serves reports whether requests on the route may go to the service.
 func (r Route) Serves(service string) bool {
 	if len(r.Split) == 0 {
--- a/fleet/backend/backend.go
+++ b/fleet/backend/backend.go
@@ -51,6 +51,8 @@
 	// Incarnation is higher after each start of the backend server.
 	Incarnation uint64
 	State       State
+	// Version is the version of the backend server's software; empty if it announces none.
+	Version string
 }
 
 // New returns a serving backend server of the service on the VM of the given daemon.
@@ -76,6 +78,12 @@
 	return b
 }
 
+// WithVersion returns a copy with the version of its software.
+func (b Backend) WithVersion(version string) Backend {
+	b.Version = version
+	return b
+}
+
 // WithState returns a copy in the state s.
 func (b Backend) WithState(s State) Backend {
 	b.State = s
--- a/fleet/roster/message.go
+++ b/fleet/roster/message.go
@@ -95,12 +95,13 @@
 	Control    string
 	Data       string
 
-	// Backend, Service, Slots and BackendIncarnation describe a backend server; see
-	// backend.Backend.
+	// Backend, Service, Slots, BackendIncarnation and BackendVersion describe a backend server;
+	// see backend.Backend.
 	Backend            backend.ID
 	Service            string
 	Slots              int
 	BackendIncarnation uint64
+	BackendVersion     string
 }
 
 // Sizes of gob-encoded deltas in bytes, estimated.
@@ -118,7 +119,7 @@
 // encodedSize estimates the gob-encoded size of the delta in bytes.
 func (d Delta) encodedSize() int {
 	return deltaFixedBytes + len(d.ID) + len(d.Datacentre) + len(d.Control) + len(d.Data) +
-		len(d.Backend) + len(d.Service)
+		len(d.Backend) + len(d.Service) + len(d.BackendVersion)
 }
 
 func (d Delta) isBackend() bool { return d.Backend != "" }
--- a/fleet/roster/self.go
+++ b/fleet/roster/self.go
@@ -59,6 +59,7 @@
 	d := Delta{
 		ID: r.self.ID, Incarnation: r.self.Incarnation, State: uint8(b.State),
 		Backend: b.ID, Service: b.Service, Slots: b.Slots, BackendIncarnation: b.Incarnation,
+		BackendVersion: b.Version,
 	}
 	if row != nil {
 		d.Version = row.delta.Version
--- a/fleet/roster/table.go
+++ b/fleet/roster/table.go
@@ -67,7 +67,8 @@
 func (r *backendRow) backend() backend.Backend {
 	d := r.delta
 	return backend.New(d.Backend, d.Service, d.ID).WithSlots(d.Slots).WithAddress(r.address).
-		WithIncarnation(d.BackendIncarnation).WithState(backend.State(d.State))
+		WithIncarnation(d.BackendIncarnation).WithState(backend.State(d.State)).
+		WithVersion(d.BackendVersion)
 }
 
 // table holds all records. The live ones, of members that are not dead and of backend
