mesh/crossing: count bytes by VM and kind of traffic

Cause: bytes between regions are the dearest part of the tagay deployment, and nothing tells what they are. Change: connections that the mesh and the forwarder dial are counted, by the VM at the other end, so that the sum over the fleet counts each byte once.

--- a/hop/forwarder/forwarder.go
+++ b/hop/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"berylpass/hop"
+	"berylpass/mesh/crossing"
 	"berylpass/mesh/link"
 )
 
@@ -84,9 +85,9 @@
 }
 
 // New returns a forwarder that accepts answers with bodies of up to maxAnswerBytes bytes.
-func New(config *tls.Config, maxAnswerBytes int64) *Forwarder {
+func New(config *tls.Config, maxAnswerBytes int64, options ...Option) *Forwarder {
 	dialer := link.New(dialTimeout).Dialer()
-	return &Forwarder{
+	f := &Forwarder{
 		maxAnswerBytes: maxAnswerBytes,
 		largeBodies:    make(chan struct{}, maxLargeBodies),
 		transport: &http.Transport{
@@ -99,6 +100,20 @@
 			DisableCompression:     true,
 		},
 	}
+	for _, option := range options {
+		option(f)
+	}
+	return f
+}
+
+// Option configures a Forwarder.
+type Option func(*Forwarder)
+
+// WithTraffic returns an Option that counts the bytes on the connections to guards.
+func WithTraffic(c *crossing.Counter) Option {
+	return func(f *Forwarder) {
+		f.transport.DialContext = c.Dial(crossing.Requests, f.transport.DialContext)
+	}
 }
 
 // Forward sends the request to the guard at address and waits for its answer or the end of
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"berylpass/fleet/member"
+	"berylpass/mesh/crossing"
 	"berylpass/mesh/link"
 	"berylpass/mesh/meshkey"
 )
@@ -72,6 +73,7 @@
 	listener  net.Listener
 	server    *rpc.Server
 	onPanic   func(method, stack string)
+	dialTCP   crossing.DialFunc
 	// sent and received count bytes.
 	sent     atomic.Int64
 	received atomic.Int64
@@ -112,6 +114,7 @@
 		peers:     map[string]*peer{},
 		conns:     map[net.Conn]struct{}{},
 		onPanic:   func(string, string) {},
+		dialTCP:   link.New(DialTimeout).Dialer().DialContext,
 	}
 	for _, option := range options {
 		option(m)
@@ -127,6 +130,11 @@
 	return func(m *Mesh) { m.onPanic = panicked }
 }
 
+// WithTraffic returns an Option that counts the bytes on the connections that the mesh dials.
+func WithTraffic(c *crossing.Counter) Option {
+	return func(m *Mesh) { m.dialTCP = c.Dial(crossing.Control, m.dialTCP) }
+}
+
 // Address returns the address on which the mesh listens.
 func (m *Mesh) Address() string { return m.listener.Addr().String() }
 
@@ -254,7 +262,7 @@
 }
 
 func (m *Mesh) dial(ctx context.Context, address string) (net.Conn, error) {
-	raw, err := link.New(DialTimeout).Dialer().DialContext(ctx, "tcp", address)
+	raw, err := m.dialTCP(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/monitor/event/catalogue.go
+++ b/monitor/event/catalogue.go
@@ -57,6 +57,7 @@
 	QueueShed     = info(4201, "queue-shed", "A request was shed and refused as not run, for example because it could not finish in time; the reason field says why.")
 	PathBroken    = warn(4301, "path-broken", "This daemon can't reach a member's data address and sends requests elsewhere.")
 	PathMended    = info(4302, "path-mended", "A member's data address can be reached again.")
+	RegionTraffic = info(4501, "region-traffic", "The bytes that this daemon has exchanged with other regions since its start, over connections that it dialled, by kind of traffic.")
 )
 
 // Members and backend servers.
