config/home, guard: nothing runs outside its home regions

Cause: a route or an organisation may name the regions in which its requests may run and be held; nothing checked it. Change: config/home combines both (both bind); the guard refuses, as not run, a request whose homes don't include its region, whatever the ingress decided.

--- a/guard/check.go
+++ b/guard/check.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"berylpass/config/home"
 	"berylpass/config/route"
 	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
@@ -21,6 +22,8 @@
 	ReasonDraining     = "backend-draining"
 	ReasonOutOfService = "datacentre-out-of-service"
 	ReasonOtherService = "other-service"
+	// ReasonNotHome means that the request's route or organisation has home regions, and that this VM is in another one.
+	ReasonNotHome = "not-a-home-region"
 	// ReasonOtherInstance means that another instance answered at the backend server's address.
 	ReasonOtherInstance = "other-instance"
 	ReasonLeaving       = "leaving"
@@ -69,6 +72,9 @@
 	if !s.InService(g.self.Datacentre) {
 		return ReasonOutOfService
 	}
+	if !home.New(route, s.Organisations[e.Organisation]).Allows(s.Datacentres[g.self.Datacentre].Region) {
+		return ReasonNotHome
+	}
 	target, known := g.backends[e.Backend]
 	switch {
 	case !known:
