choice/spill, choice/picker: requests stay in their region while it has room

Cause: the picker prefers the own data centre, and treats a neighbouring one in the same region like one 30 ms away over a shared link of 60 Mbit/s whose bytes are dear. Change: with two regions or more, a request goes to its own region. choice/spill decides what leaves: from the loads that the region's guards report, light requests before heavy ones, with hysteresis, within this daemon's part of a share of the link (section [regions] of the settings, divided by the live daemons of the region). Trials stay in the region; the floor is applied to the own region by itself, so that its own capacity is made up first. Home regions limit the candidates. With one region nothing changes. Ruled out: to compare loads with a greater penalty, as between data centres: all daemons would move at the same load and nothing bounds the bytes.

--- a/choice/chooser/chooser.go
+++ b/choice/chooser/chooser.go
@@ -23,6 +23,7 @@
 	"berylpass/attempt/id"
 	"berylpass/choice/picker"
 	"berylpass/choice/report"
+	"berylpass/choice/spill"
 	"berylpass/choice/verdict"
 	"berylpass/config/class"
 	"berylpass/config/snapshot"
@@ -194,7 +195,7 @@
 		return Target{}, fmt.Errorf("%w: backend server %q has just left", picker.ErrNoBackend, chosen)
 	}
 	t.Forced, t.TrialOnly = c.picker.Forced(chosen), c.picker.TrialOnly(chosen)
-	t.HasOther = c.picker.HasOther(r.Service, r.Exclude, chosen)
+	t.HasOther = c.picker.HasOther(r, chosen)
 	return t, nil
 }
 
@@ -230,6 +231,21 @@
 	return c.picker.Status(c.options.Clock())
 }
 
+// SetSpillRate sets the bytes a second that requests of this ingress may use between regions.
+func (c *Chooser) SetSpillRate(bytesPerSecond float64) {
+	now := c.options.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.picker.SetSpillRate(now, bytesPerSecond)
+}
+
+// Spilled returns what has left the region since the start, and the state of each service; see picker.Picker.Spilled.
+func (c *Chooser) Spilled() (spill.Counts, []picker.RegionStatus) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.picker.Spilled(c.options.Clock())
+}
+
 // updateTarget passes the state of a target to the picker. The caller must hold c.mu.
 func (c *Chooser) updateTarget(now time.Time, t Target) {
 	region, own := c.snapshot.Datacentres[t.Guard.Datacentre].Region, c.snapshot.Datacentres[c.options.Self.Datacentre].Region
--- a/choice/picker/inflight.go
+++ b/choice/picker/inflight.go
@@ -56,7 +56,9 @@
 	s.group.changed = true
 	if e.Report != nil {
 		s.takeReport(now, *e.Report)
+		p.observeRegion(now, s)
 	}
+	p.chargeAnswer(now, s, e.AnswerBytes)
 	switch {
 	case e.Verdict.Answered() || e.Report != nil:
 		s.lastAnswer, s.path.lastAnswer, s.path.consecutiveFailures = now, now, 0
--- a/choice/picker/message.go
+++ b/choice/picker/message.go
@@ -60,6 +60,8 @@
 	Verdict verdict.Verdict
 	// Report is the report that the guard attached to the answer; nil if there was none.
 	Report *report.Report
+	// AnswerBytes is the length of the answer's body.
+	AnswerBytes int
 }
 
 // ReportReceived passes on a report that did not arrive with an answer to this ingress.
--- a/choice/picker/pick.go
+++ b/choice/picker/pick.go
@@ -80,37 +80,31 @@
 
 // PickFor returns a backend server for the request that req describes. Its error wraps ErrNoBackend.
 func (p *Picker) PickFor(now time.Time, req Request) (backend.ID, error) {
-	service, exclude := req.Service, req.Exclude
-	g := p.groups[service]
+	g := p.groups[req.Service]
 	if g == nil {
-		return "", fmt.Errorf("%w: service %q is unknown", ErrNoBackend, service)
+		return "", fmt.Errorf("%w: service %q is unknown", ErrNoBackend, req.Service)
 	}
 	g.refresh()
 	if s := g.pickOnSameVM(now, req); s != nil {
 		return s.backend.ID, nil
 	}
 	if req.MayBeTrial {
-		if s := p.pickTripped(now, g, exclude); s != nil {
+		if s := p.pickTripped(now, g, req); s != nil {
 			return s.backend.ID, nil
 		}
 	}
-	if s := p.pickTrial(g, exclude); s != nil {
+	if s := p.pickTrial(g, req); s != nil {
 		return s.backend.ID, nil
 	}
-	candidates := g.active
-	if len(exclude) > 0 {
-		candidates = allowed(candidates, exclude)
+	candidates := req.allowed(g.active)
+	if len(candidates) == 0 {
+		return "", fmt.Errorf("%w of service %q, %d excluded", ErrNoBackend, req.Service, len(req.Exclude))
 	}
-	switch len(candidates) {
-	case 0:
-		return "", fmt.Errorf("%w of service %q, %d excluded", ErrNoBackend, service, len(exclude))
-	case 1:
-		return candidates[0].backend.ID, nil
+	s, err := p.choose(now, candidates, req)
+	if err != nil {
+		return "", err
 	}
-	if p.localFirst {
-		return p.pickLocalFirst(now, candidates, req).backend.ID, nil
-	}
-	return p.lessLoaded(now, candidates).backend.ID, nil
+	return s.backend.ID, nil
 }
 
 // lessLoaded returns the less loaded of two random servers.
@@ -164,7 +158,7 @@
 
 // pickTrial returns, for a small random share of the requests, a backend server on trial that has no request of
 // this ingress in flight.
-func (p *Picker) pickTrial(g *group, exclude []backend.ID) *server {
+func (p *Picker) pickTrial(g *group, req Request) *server {
 	n := len(g.trials)
 	if n == 0 {
 		return nil
@@ -174,7 +168,7 @@
 		return nil
 	}
 	s := g.trials[p.random.IntN(n)]
-	if len(s.inFlight) > 0 || slices.Contains(exclude, s.backend.ID) {
+	if len(s.inFlight) > 0 || !p.maySendTrial(s, req) {
 		return nil
 	}
 	return s
@@ -186,7 +180,7 @@
 func (g *group) pickOnSameVM(now time.Time, req Request) *server {
 	for _, s := range g.tripped {
 		starved := now.Sub(s.lastPick) >= starvedAfter && now.Sub(s.reportAt) >= starvedAfter
-		if s.sameVM && len(s.inFlight) == 0 && len(req.Exclude) == 0 && s.trialAllowed(now) && (req.MayBeTrial || starved) {
+		if s.sameVM && len(s.inFlight) == 0 && len(req.Exclude) == 0 && req.mayServe(s) && s.trialAllowed(now) && (req.MayBeTrial || starved) {
 			return s
 		}
 	}
@@ -195,15 +189,15 @@
 
 // pickTripped returns one of the backend servers that only their breakers exclude, for at most maxTrippedShare
 // of the requests, so that each of them gets trials.
-func (p *Picker) pickTripped(now time.Time, g *group, exclude []backend.ID) *server {
+func (p *Picker) pickTripped(now time.Time, g *group, req Request) *server {
 	n := len(g.tripped)
-	if n == 0 || len(exclude) > 0 || p.random.Float64() >= min(maxTrippedShare, float64(n)/float64(n+len(g.active))) {
+	if n == 0 || len(req.Exclude) > 0 || p.random.Float64() >= min(maxTrippedShare, float64(n)/float64(n+len(g.active))) {
 		return nil
 	}
 	first := p.random.IntN(n)
 	for i := range n {
 		s := g.tripped[(first+i)%n]
-		if len(s.inFlight) == 0 && s.trialAllowed(now) {
+		if len(s.inFlight) == 0 && s.trialAllowed(now) && p.maySendTrial(s, req) {
 			return s
 		}
 	}
@@ -233,16 +227,17 @@
 	return s
 }
 
-// HasOther reports whether a backend server of the service other than the chosen one and those in exclude
-// receives regular traffic.
-func (p *Picker) HasOther(service string, exclude []backend.ID, chosen backend.ID) bool {
-	g := p.groups[service]
+// HasOther reports whether a backend server other than the chosen one receives regular traffic and could run the
+// request in the region of the chosen one.
+func (p *Picker) HasOther(req Request, chosen backend.ID) bool {
+	g := p.groups[req.Service]
 	if g == nil {
 		return false
 	}
 	g.refresh()
+	of := p.servers[chosen]
 	return slices.ContainsFunc(g.active, func(s *server) bool {
-		return s.backend.ID != chosen && !slices.Contains(exclude, s.backend.ID)
+		return s.backend.ID != chosen && req.mayServe(s) && (p.spill == nil || of == nil || s.sameRegion == of.sameRegion)
 	})
 }
 
@@ -252,17 +247,6 @@
 	return s != nil && !s.active
 }
 
-// allowed returns the servers that are not excluded.
-func allowed(servers []*server, exclude []backend.ID) []*server {
-	rest := make([]*server, 0, len(servers))
-	for _, s := range servers {
-		if !slices.Contains(exclude, s.backend.ID) {
-			rest = append(rest, s)
-		}
-	}
-	return rest
-}
-
 // firstWithCapacity returns the first server with capacity for one more request, or nil. The servers are
 // divided into parts; an ingress starts with the part given by its position, in [0, 1), so that only some of
 // the ingresses of a data centre share an order. If all did, too many would choose the same server before they
--- a/choice/picker/picker.go
+++ b/choice/picker/picker.go
@@ -31,6 +31,7 @@
 	"strings"
 	"time"
 
+	"berylpass/choice/spill"
 	"berylpass/config/service"
 	"berylpass/decision"
 	"berylpass/fleet/backend"
@@ -54,6 +55,9 @@
 	// startPosition, in [0, 1), is where this ingress starts in the list of backend servers of its data centre
 	// when it places requests that may run only once.
 	startPosition float64
+	// spill decides what leaves the own region; nil if regions make no difference. region is the name of the own region.
+	spill  *spill.Spill
+	region string
 }
 
 var _ decision.System = (*Picker)(nil)
@@ -101,6 +105,7 @@
 	case ReportReceived:
 		if s := p.servers[e.Backend]; s != nil {
 			s.takeReport(now, e.Report)
+			p.observeRegion(now, s)
 		}
 	case Tick:
 		return p.tick(now)
@@ -131,6 +136,9 @@
 	s.backend = e.Backend
 	s.datacentre, s.sameDatacentre, s.inService = e.Datacentre, e.SameDatacentre, e.InService
 	s.sameVM, s.region, s.sameRegion = e.SameVM, e.Region, e.SameRegion
+	if e.SameRegion {
+		p.region = e.Region
+	}
 	g.invalidate()
 }
 
@@ -156,6 +164,7 @@
 		return g
 	}
 	g := newGroup(service.New(name))
+	g.byRegion = p.spill != nil
 	p.groups[name] = g
 	at, _ := slices.BinarySearchFunc(p.groupOrder, name, func(o *group, n string) int {
 		return strings.Compare(o.service.Name, n)
--- a/choice/picker/rebuild_test.go
+++ b/choice/picker/rebuild_test.go
@@ -69,7 +69,7 @@
 				}
 			}
 			_, _ = p.Pick(now, "rounds", nil)
-			_ = p.HasOther("rounds", nil, "")
+			_ = p.HasOther(Request{Service: "rounds"}, "")
 		}); got != 1 {
 			t.Errorf("%d backend servers: %d rebuilds, want 1", n, got)
 		}
@@ -113,7 +113,7 @@
 	gone := all[1]
 	gone.InService = false
 	p.Update(now, gone)
-	if p.HasOther("rounds", nil, "b-000") {
+	if p.HasOther(Request{Service: "rounds"}, "b-000") {
 		t.Error("a backend server is offered as another one although its data centre has just left service")
 	}
 	for range 20 {
--- /dev/null
+++ b/choice/picker/region_test.go
@@ -0,0 +1,164 @@
+package picker
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"berylpass/attempt/id"
+	"berylpass/choice/breaker"
+	"berylpass/choice/report"
+	"berylpass/choice/spill"
+	"berylpass/choice/verdict"
+	"berylpass/config/service"
+	"berylpass/fleet/backend"
+	"berylpass/fleet/member"
+)
+
+// newRegionPicker returns a Picker whose region "here" has n backend servers in two data centres, as many as "there".
+func newRegionPicker(now time.Time, n int, options ...Option) *Picker {
+	p := New(1, append(options, WithLocalFirst())...)
+	p.Update(now, ServiceUpdated{Service: service.New("rounds").WithRamp(0)})
+	for i := range 2 * n {
+		region := "here"
+		if i >= n {
+			region = "there"
+		}
+		b := backend.New(backend.ID(fmt.Sprintf("i-%02d", i)), "rounds", member.ID(fmt.Sprintf("vm-%02d", i))).WithSlots(4)
+		p.Update(now, BackendUpdated{Backend: b, Datacentre: fmt.Sprintf("%s-%d", region, i%2), SameDatacentre: i < n && i%2 == 0,
+			Region: region, SameRegion: i < n, InService: true})
+	}
+	return p
+}
+
+// leaving returns how many of 1000 requests at full, or idle, backend servers of the own region leave it.
+func leaving(t *testing.T, full bool, req Request, options ...Option) int {
+	t.Helper()
+	now := time.Unix(1_800_000_000, 0)
+	p := newRegionPicker(now, 6, options...)
+	left := 0
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		for _, s := range p.servers {
+			if s.sameRegion && full {
+				p.Update(now, ReportReceived{Backend: s.backend.ID, Report: report.Report{InUse: 4, Queued: 6, Limit: 4}})
+			}
+		}
+		chosen, err := p.PickFor(now, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !p.servers[chosen].sameRegion {
+			left++
+		}
+	}
+	return left
+}
+
+// ratedSpill returns a Spill with a part of the share of the given size.
+func ratedSpill(bytesPerSecond float64) *spill.Spill {
+	s := spill.New(1)
+	s.SetRate(time.Unix(1_800_000_000, 0), bytesPerSecond)
+	return s
+}
+
+// TestRequestsStayInTheirRegion checks that requests leave their region only if its backend servers have no room and the
+// share of the link allows it, and that those with large bodies leave after the others. Without regions they leave earlier.
+func TestRequestsStayInTheirRegion(t *testing.T) {
+	small, large := Request{Service: "rounds"}, Request{Service: "rounds", BodyBytes: 60_000}
+	if n := leaving(t, false, small, WithRegions(ratedSpill(1e7))); n > 0 {
+		t.Errorf("%d of 1000 requests left a region with free slots, want none", n)
+	}
+	s, l := leaving(t, true, small, WithRegions(ratedSpill(1e7))), leaving(t, true, large, WithRegions(ratedSpill(1e7)))
+	if s < 500 || l >= s || l == 0 {
+		t.Errorf("%d small and %d large ones of 1000 requests left a full region, want most small and fewer large ones", s, l)
+	}
+	if n := leaving(t, true, small, WithRegions(ratedSpill(0))); n > 0 {
+		t.Errorf("%d of 1000 requests left without a share of the link, want none", n)
+	}
+}
+
+// TestWithoutRegionsNothingChanges checks that regions that are named make no difference without WithRegions.
+func TestWithoutRegionsNothingChanges(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	named, unnamed := newRegionPicker(now, 6), New(1, WithLocalFirst())
+	unnamed.Update(now, ServiceUpdated{Service: service.New("rounds").WithRamp(0)})
+	for _, s := range named.groupOrder[0].servers {
+		unnamed.Update(now, BackendUpdated{Backend: s.backend, SameDatacentre: s.sameDatacentre, InService: true})
+	}
+	for n := range 200 {
+		req := Request{Service: "rounds", RunOnce: n%3 == 0, BodyBytes: n * 100}
+		a, _ := named.PickFor(now, req)
+		b, _ := unnamed.PickFor(now, req)
+		if a != b {
+			t.Fatalf("request %d goes to %s with named regions and to %s without", n, a, b)
+		}
+		for _, p := range []*Picker{named, unnamed} {
+			p.Update(now, AttemptStarted{Attempt: id.New("vm-00", 1, uint64(n)), Backend: a})
+		}
+	}
+}
+
+// TestTrialsStayInTheirRegion checks that failing backend servers of another region get no trials from here.
+func TestTrialsStayInTheirRegion(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := newRegionPicker(now, 6, WithRegions(ratedSpill(1e7)))
+	for _, s := range p.servers {
+		if !s.sameRegion {
+			p.Update(now, ReportReceived{Backend: s.backend.ID, Report: report.Report{Breaker: breaker.Open, BreakerScore: 9, Limit: 4}})
+		}
+	}
+	now = now.Add(2 * time.Second)
+	for range 500 {
+		chosen, err := p.PickFor(now, Request{Service: "rounds", MayBeTrial: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !p.servers[chosen].sameRegion {
+			t.Fatalf("a trial went to %s in another region", chosen)
+		}
+	}
+}
+
+// TestRegionUsesItsOwnFailingServersFirst checks that a region whose backend servers all fail some of their requests
+// keeps the least bad in use, rather than sending everything over the link.
+func TestRegionUsesItsOwnFailingServersFirst(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := newRegionPicker(now, 6, WithRegions(ratedSpill(1e7)))
+	p.Update(now, ServiceUpdated{Service: service.New("rounds").WithRamp(0).WithFloor(0.5)})
+	for _, s := range p.servers {
+		if s.sameRegion {
+			p.Update(now, ReportReceived{Backend: s.backend.ID, Report: report.Report{Breaker: breaker.Open, BreakerScore: 9, Limit: 4}})
+		}
+	}
+	chosen, err := p.PickFor(now, Request{Service: "rounds"})
+	if err != nil || !p.servers[chosen].sameRegion {
+		t.Errorf("got %q, %v; want a backend server of the own region", chosen, err)
+	}
+}
+
+// TestRequestsKeepToTheirHomes checks that a request with home regions goes to no other region, also as a trial or a
+// retry, that it leaves a region that is no home without a share of the link, and that none is chosen if none is left.
+func TestRequestsKeepToTheirHomes(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	for _, options := range [][]Option{nil, {WithRegions(ratedSpill(0))}} {
+		p := newRegionPicker(now, 6, options...)
+		for n := range uint64(300) {
+			for _, home := range []string{"here", "there"} {
+				chosen, err := p.PickFor(now, Request{Service: "rounds", HomeRegions: []string{home}, MayBeTrial: true, RunOnce: n%2 == 0})
+				if err != nil || p.servers[chosen].region != home {
+					t.Fatalf("home %s: got %q, %v", home, chosen, err)
+				}
+				p.Update(now, AttemptStarted{Attempt: id.New("vm-00", 1, n), Backend: chosen})
+				p.Update(now, AttemptEnded{Attempt: id.New("vm-00", 1, n), Backend: chosen, Verdict: verdict.Shed})
+			}
+		}
+		if chosen, err := p.PickFor(now, Request{Service: "rounds", HomeRegions: []string{}}); !errors.Is(err, ErrNoBackend) {
+			t.Errorf("without a home left: got %q, %v; want %v", chosen, err, ErrNoBackend)
+		}
+		if p.HasOther(Request{Service: "rounds", HomeRegions: []string{}}, "i-00") {
+			t.Error("without a home left another backend server is said to be possible")
+		}
+	}
+}
--- a/choice/picker/table.go
+++ b/choice/picker/table.go
@@ -114,6 +114,9 @@
 	rebuilds    uint64
 	evaluatedAt time.Time
 	scratch     peerLevels
+	// byRegion applies the floor to the own region and to the others separately, so that the region's own capacity is
+	// made up before requests leave it.
+	byRegion bool
 	// candidates is memory that rebuild uses again.
 	candidates []floor.Candidate
 }
@@ -147,21 +150,14 @@
 func (g *group) rebuild() {
 	g.stale = false
 	g.rebuilds++
-	candidates := g.candidates[:0]
-	demand, severe := 0.0, false
 	for _, s := range g.servers {
-		s.active = false
-		if s.serving() {
-			c := floor.Candidate{ID: s.backend.ID, Slots: s.slots(), Severity: s.severity()}
-			s.active = c.Severity == 0
-			severe = severe || !s.active
-			candidates = append(candidates, c)
-			demand += s.outstanding(g.evaluatedAt)
-		}
+		s.active = s.serving() && s.severity() == 0
 	}
-	g.candidates = candidates
-	if severe {
-		g.applyFloor(demand)
+	if g.byRegion {
+		g.applyFloor(func(s *server) bool { return s.sameRegion })
+		g.applyFloor(func(s *server) bool { return !s.sameRegion })
+	} else {
+		g.applyFloor(func(*server) bool { return true })
 	}
 	g.active, g.trials, g.tripped = g.active[:0], g.trials[:0], g.tripped[:0]
 	for _, s := range g.servers {
@@ -176,27 +172,40 @@
 	}
 }
 
-// applyFloor activates those of the servers with a severity that the floor or a lack of capacity keeps in use.
-// The demand is the number of queued and running requests.
-func (g *group) applyFloor(demand float64) {
+// applyFloor activates those of the given servers with a severity that the floor or a lack of capacity keeps in use.
+func (g *group) applyFloor(of func(*server) bool) {
+	candidates := g.candidates[:0]
+	demand, severe := 0.0, false
+	for _, s := range g.servers {
+		if s.serving() && of(s) {
+			c := floor.Candidate{ID: s.backend.ID, Slots: s.slots(), Severity: s.severity()}
+			severe = severe || c.Severity > 0
+			candidates = append(candidates, c)
+			demand += s.outstanding(g.evaluatedAt)
+		}
+	}
+	g.candidates = candidates
+	if !severe {
+		return
+	}
 	inUse := 0
-	for _, c := range floor.New(g.service.Floor).Keep(g.candidates) {
+	for _, c := range floor.New(g.service.Floor).Keep(candidates) {
 		if c.Severity > 0 {
 			g.find(c.ID).active = true
 		}
 		inUse += c.Slots
 	}
-	g.activateTripped(demand*demandMargin - float64(inUse))
+	g.activateTripped(of, demand*demandMargin-float64(inUse))
 }
 
-// activateTripped activates backend servers that only their breakers exclude, in ascending order of severity,
-// until they make up the given number of missing slots: a backend server that fails some of its requests is
+// activateTripped activates those of the given backend servers that only their breakers exclude, in ascending order of
+// severity, until they make up the given number of missing slots: a backend server that fails some of its requests is
 // better than none.
-func (g *group) activateTripped(lacking float64) {
+func (g *group) activateTripped(of func(*server) bool, lacking float64) {
 	for lacking > 0 {
 		var least *server
 		for _, s := range g.servers {
-			if !s.active && s.onlyTripped() && (least == nil || s.severity() < least.severity()) {
+			if !s.active && of(s) && s.onlyTripped() && (least == nil || s.severity() < least.severity()) {
 				least = s
 			}
 		}
--- /dev/null
+++ b/choice/spill/spill_test.go
@@ -0,0 +1,125 @@
+package spill
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// feed reports the load ten times a second for d and returns the time after it.
+func feed(s *Spill, now time.Time, d time.Duration, load float64) time.Time {
+	for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
+		s.Observe(now, "rounds", load)
+	}
+	return now
+}
+
+// allowed returns how many of 1,000 requests may leave. It charges nothing.
+func allowed(s *Spill, now time.Time, r Request) int {
+	n := 0
+	for range 1000 {
+		if s.Allow(now, "rounds", r) {
+			n++
+		}
+	}
+	return n
+}
+
+var (
+	light = Request{Here: 1.5, There: 0.5}
+	heavy = Request{Here: 1.5, There: 0.5, Bytes: HeavyBytes + 1}
+)
+
+// TestNothingLeavesWhileTheRegionHasRoom checks that neither a region with free slots, nor a backend server with
+// one in a full region, sends requests away, and that nothing leaves before anything is known.
+func TestNothingLeavesWhileTheRegionHasRoom(t *testing.T) {
+	s := New(1)
+	s.SetRate(start, 1e6)
+	now := start.Add(time.Second)
+	if n := allowed(s, now, light); n > 0 {
+		t.Errorf("%d of 1000 requests may leave before any report, want none", n)
+	}
+	now = feed(s, now, 10*time.Second, closeLoad-0.05)
+	if n := allowed(s, now, light); n > 0 {
+		t.Errorf("%d of 1000 requests may leave while slots are free, want none", n)
+	}
+	now = feed(s, now, 10*time.Second, 1.5)
+	if n := allowed(s, now, Request{Here: 1, There: 0.2}); n > 0 {
+		t.Errorf("%d of 1000 requests may leave although their backend server has a free slot, want none", n)
+	}
+	if n := allowed(s, now, Request{Here: 1.5, There: 1.4}); n > 0 {
+		t.Errorf("%d of 1000 requests may leave to a region as full as theirs, want none", n)
+	}
+}
+
+// TestCheapRequestsLeaveFirst checks that while the region lacks room light requests leave before heavy ones.
+func TestCheapRequestsLeaveFirst(t *testing.T) {
+	s := New(1)
+	s.SetRate(start, 1e6)
+	now := feed(s, start, 1500*time.Millisecond, 1.5)
+	someLight, noHeavy := allowed(s, now, light), allowed(s, now, heavy)
+	if someLight < 200 || someLight > 900 || noHeavy > 0 {
+		t.Errorf("after 1.5 s %d light and %d heavy ones of 1000 may leave; want a part of the light ones only", someLight, noHeavy)
+	}
+	now = feed(s, now, 10*time.Second, 1.5)
+	if l, h, a := allowed(s, now, light), allowed(s, now, heavy), allowed(s, now, Request{Here: 1.5, There: 0.5, LargeAnswer: true}); l < 1000 || h < 1000 || a < 1000 {
+		t.Errorf("after 11.5 s %d light, %d heavy ones and %d with large answers of 1000 may leave; want all", l, h, a)
+	}
+}
+
+// TestComesBackWithoutSwinging checks that between the two thresholds the fraction stays, that it falls to zero once the
+// region has room, and that it does so too if reports stop.
+func TestComesBackWithoutSwinging(t *testing.T) {
+	s := New(1)
+	s.SetRate(start, 1e6)
+	now := feed(s, start, 10*time.Second, 1.5)
+	now = feed(s, now, 8*time.Second, (openLoad+closeLoad)/2)
+	held := s.Fraction(now, "rounds")
+	now = feed(s, now, 8*time.Second, (openLoad+closeLoad)/2)
+	if after := s.Fraction(now, "rounds"); held == 0 || after != held {
+		t.Errorf("the fraction went from %.2f to %.2f while the load stayed between the thresholds", held, after)
+	}
+	back := feed(s, now, 6*time.Second, 0.5)
+	if f := s.Fraction(back, "rounds"); f > 0 {
+		t.Errorf("the fraction is %.2f after 6 s with free slots, want 0", f)
+	}
+	now = feed(s, back, 10*time.Second, 1.5)
+	if f := s.Fraction(now.Add(10*time.Second), "rounds"); f > 0 {
+		t.Errorf("the fraction is %.2f after 10 s without reports, want 0", f)
+	}
+}
+
+// TestShareOfTheLinkIsKept checks that requests that leave use no more than this daemon's part of the share, with the
+// saved bytes and one request more, also if the region has no backend server left.
+func TestShareOfTheLinkIsKept(t *testing.T) {
+	const rate, bytes = 50_000, 60_000
+	for _, r := range []Request{{Here: 1.5, There: 0.5, Bytes: bytes}, {Here: math.Inf(1), There: 0.5, Bytes: bytes}} {
+		s := New(1)
+		s.SetRate(start, rate)
+		now := feed(s, start, 12*time.Second, 1.5)
+		sent, from := 0, now
+		for ; now.Before(from.Add(30 * time.Second)); now = now.Add(20 * time.Millisecond) {
+			s.Observe(now, "rounds", 1.5)
+			if s.Allow(now, "rounds", r) {
+				s.Charge(now, bytes)
+				sent += bytes
+			}
+		}
+		if limit := rate*(30+int(burstTime.Seconds())) + bytes; sent > limit || sent < limit/2 {
+			t.Errorf("%d bytes left in 30 s, want %d to %d", sent, limit/2, limit)
+		}
+		if s.Counts().Kept == 0 {
+			t.Error("no request was counted as kept for lack of the share")
+		}
+	}
+}
+
+// TestRequestsWithoutHomeHereAreNotHeldBack checks that a request that must not run in this region leaves in any case.
+func TestRequestsWithoutHomeHereAreNotHeldBack(t *testing.T) {
+	s := New(1)
+	if !s.Allow(start, "rounds", Request{Here: math.Inf(1), There: 3, Forced: true}) {
+		t.Error("a request that must not run in this region was kept in it")
+	}
+}
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -32,6 +32,7 @@
 	// Owners are the trusted public keys by the owner's name; none in the platform's dialect.
 	Owners   map[string]ed25519.PublicKey
 	Limits   Limits
+	Regions  Regions
 	Shutdown Shutdown
 	TLS      TLS
 	Log      Log
@@ -97,6 +98,21 @@
 	CallerConnections int
 }
 
+// Regions is the section [regions]: what requests may use of the link between two regions. It has no effect in a
+// fleet with one region.
+type Regions struct {
+	// LinkRate is the capacity of the link in each direction, in Mbit/s. SpillShare is the share of it, from 0 to 1, that
+	// requests of all daemons of a region may use together.
+	LinkRate   float64
+	SpillShare float64
+}
+
+// SpillRate returns the bytes a second that requests of all daemons of a region may use together.
+func (r Regions) SpillRate() float64 { return r.LinkRate * r.SpillShare * bytesPerMegabit }
+
+// bytesPerMegabit is the number of bytes in 1 Mbit.
+const bytesPerMegabit = 1e6 / 8
+
 // Shutdown is the section [shutdown]. Grace is how long requests in flight may go on after
 // SIGTERM, less Reserve, the last part of it in which the daemon must have ended.
 type Shutdown struct{ Grace, Reserve time.Duration }
--- a/config/settings/table.go
+++ b/config/settings/table.go
@@ -98,6 +98,12 @@
 		field.Integer("caller-connections", 1, 1000000, func(s *Settings) *int { return &s.Limits.CallerConnections }).
 			WithDefault("20000").WithMeaning("Largest number of callers' connections open at once; further ones are closed."),
 	}},
+	{"regions", field.Table[Settings]{
+		field.Number("link-rate", 0.1, 1e6, func(s *Settings) *float64 { return &s.Regions.LinkRate }).
+			WithDefault("50").WithMeaning("Capacity of the link between two regions in each direction, in Mbit/s."),
+		field.Share("spill-share", func(s *Settings) *float64 { return &s.Regions.SpillShare }).
+			WithDefault("0.25").WithMeaning("Share of that link that requests may use which their own region has no room for, those of all daemons of a region together."),
+	}},
 	{"shutdown", field.Table[Settings]{
 		field.Duration("grace", 0, time.Hour, func(s *Settings) *time.Duration { return &s.Shutdown.Grace }).
 			WithDefault("30s").WithMeaning("Time for requests in flight to end after SIGTERM, before the daemon exits anyway."),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"berylpass/ingress"
 	"berylpass/limit/enforcer"
 	"berylpass/mesh"
+	"berylpass/mesh/crossing"
 	"berylpass/mesh/meshkey"
 	"berylpass/monitor/burn"
 	"berylpass/monitor/event"
@@ -46,12 +47,14 @@
 	// limitSettings are the limits in force. Reload replaces them.
 	limitSettings atomic.Pointer[settings.Limits]
 	directory     *directory.Directory
-	meshKey       *meshkey.MeshKey
-	self          member.Member
-	logger        zerolog.Logger
-	metrics       metrics.Registry
-	observer      *observer
-	clock         func() time.Time
+	// traffic counts the bytes exchanged with each other VM.
+	traffic  *crossing.Counter
+	meshKey  *meshkey.MeshKey
+	self     member.Member
+	logger   zerolog.Logger
+	metrics  metrics.Registry
+	observer *observer
+	clock    func() time.Time
 
 	mesh          *mesh.Mesh
 	members       *membership.Membership
@@ -65,9 +68,9 @@
 	control   *control.Control
 	forwarder *forwarder.Forwarder
 	guard     *guard.Guard
-	// live holds the daemons that are not dead, this one included. Only the start and the membership's callbacks,
+	// live holds the data centres of the daemons that are not dead, this one included. Only the start and the membership's callbacks,
 	// which run one at a time, use it; liveDaemons is their number.
-	live        map[member.ID]bool
+	live        map[member.ID]string
 	liveDaemons atomic.Int64
 	// departures is nil unless the daemon speaks the platform's dialect.
 	departures *keeper.Keeper
@@ -95,7 +98,7 @@
 func New(s settings.Settings, logger zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, logger: logger, metrics: metrics.NewRegistry(), clock: time.Now,
-		lastNotice: map[backend.ID]time.Time{}, live: map[member.ID]bool{}, ended: make(chan struct{}),
+		lastNotice: map[backend.ID]time.Time{}, traffic: crossing.New(), live: map[member.ID]string{}, ended: make(chan struct{}),
 	}
 	d.limitSettings.Store(&s.Limits)
 	d.observer = &observer{
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -149,7 +149,7 @@
 // own data centre, because traffic between data centres is expensive.
 func (d *Daemon) pickerOptions() []picker.Option {
 	if d.onPlatform() {
-		return []picker.Option{picker.WithLocalFirst()}
+		return append(d.regionOptions(), picker.WithLocalFirst())
 	}
 	return nil
 }
--- /dev/null
+++ b/daemon/regions.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"berylpass/choice/picker"
+	"berylpass/choice/spill"
+	"berylpass/mesh/crossing"
+	"berylpass/monitor/event"
+)
+
+const (
+	// regionMetricsInterval is the time between two updates of the metrics of traffic between regions.
+	regionMetricsInterval = 5 * time.Second
+	// regionLogInterval is the time between two log lines about it.
+	regionLogInterval = 30 * time.Second
+)
+
+// regions returns the region of each data centre by name, nil if the fleet has fewer than two regions: what
+// concerns regions is off then.
+func (d *Daemon) regions() map[string]string {
+	for _, region := range d.settings.Datacentres {
+		if region != d.settings.Datacentres[d.settings.Daemon.Datacentre] {
+			return d.settings.Datacentres
+		}
+	}
+	return nil
+}
+
+// regionOptions returns the options of the picker that keep requests in their region.
+func (d *Daemon) regionOptions() []picker.Option {
+	if d.regions() == nil {
+		return nil
+	}
+	return []picker.Option{picker.WithRegions(spill.New(d.self.Incarnation))}
+}
+
+// updateSpillRate gives the chooser this daemon's part of the bytes that may leave the region: an equal part for each
+// live daemon there. It is called when a daemon has joined, left or died.
+func (d *Daemon) updateSpillRate() {
+	regions := d.regions()
+	if regions == nil || d.chooser == nil {
+		return
+	}
+	daemons := 0
+	for _, datacentre := range d.live {
+		if regions[datacentre] == regions[d.self.Datacentre] {
+			daemons++
+		}
+	}
+	d.chooser.SetSpillRate(d.settings.Regions.SpillRate() / float64(max(daemons, 1)))
+}
+
+// startRegions starts to report the traffic with other regions.
+func (d *Daemon) startRegions() {
+	if d.regions() == nil {
+		return
+	}
+	done := make(chan struct{})
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		ticker := time.NewTicker(regionMetricsInterval)
+		defer ticker.Stop()
+		for n := 1; ; n++ {
+			select {
+			case <-ticker.C:
+				d.reportRegions(n%int(regionLogInterval/regionMetricsInterval) == 0)
+			case <-done:
+				return
+			}
+		}
+	})
+	d.onClose(func() {
+		close(done)
+		wait.Wait()
+	})
+}
+
+// reportRegions updates the metrics of the traffic with other regions, and logs it if log is set.
+func (d *Daemon) reportRegions(log bool) {
+	totals := d.traffic.Totals(d.otherRegion())
+	line := event.RegionTraffic.Log(&d.logger)
+	for _, kind := range []crossing.Kind{crossing.Control, crossing.Requests} {
+		t := totals[kind]
+		name := `{kind="` + kind.String() + `"`
+		metrics.GetOrRegisterGauge("region-connections"+name+"}", d.metrics).Update(t.Connections)
+		metrics.GetOrRegisterGauge("region-bytes"+name+`,direction="sent"}`, d.metrics).Update(t.Sent)
+		metrics.GetOrRegisterGauge("region-bytes"+name+`,direction="received"}`, d.metrics).Update(t.Received)
+		line = line.Int64(kind.String()+"-connections", t.Connections).
+			Int64(kind.String()+"-sent", t.Sent).Int64(kind.String()+"-received", t.Received)
+	}
+	if log {
+		line.Send()
+	}
+}
+
+// otherRegion returns a function that reports whether a host is the VM of a daemon in another region.
+func (d *Daemon) otherRegion() func(host string) bool {
+	regions := d.regions()
+	own := regions[d.self.Datacentre]
+	elsewhere := map[string]bool{}
+	for _, m := range d.members.Members() {
+		if host, _, err := net.SplitHostPort(m.Control); err == nil {
+			elsewhere[host] = regions[m.Datacentre] != own
+		}
+	}
+	return func(host string) bool { return elsewhere[host] }
+}
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -61,6 +61,7 @@
 		return trace.Wrap(err)
 	}
 	d.startMonitor()
+	d.startRegions()
 	return nil
 }
 
@@ -78,7 +79,7 @@
 		return trace.Wrap(err)
 	}
 	d.meshKey, d.directory = key, directory.New()
-	d.mesh, err = mesh.New(d.settings.Listen.Control, key, d.directory, mesh.WithPanicHandler(d.logCallPanic))
+	d.mesh, err = mesh.New(d.settings.Listen.Control, key, d.directory, mesh.WithPanicHandler(d.logCallPanic), mesh.WithTraffic(d.traffic))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -99,6 +100,7 @@
 		Self: d.self, Seed: d.self.Incarnation, Clock: d.clock, Observer: d.observer, Prober: d.control, Picker: d.pickerOptions(),
 	})
 	d.onClose(d.chooser.Close)
+	d.updateSpillRate()
 	d.guard = guard.New(d.self, guard.Parts{
 		Configuration:  &d.configuration,
 		Leg:            d.newLeg(),
@@ -150,7 +152,7 @@
 }
 
 func (d *Daemon) startIngress() {
-	d.forwarder = forwarder.New(d.meshKey.ClientTLS(), d.settings.Limits.MaxBody)
+	d.forwarder = forwarder.New(d.meshKey.ClientTLS(), d.settings.Limits.MaxBody, forwarder.WithTraffic(d.traffic))
 	d.ingress = ingress.New(d.self, ingress.Parts{
 		Configuration:     &d.configuration,
 		Chooser:           d.chooser,
@@ -294,9 +296,10 @@
 	if changed.State == member.Dead {
 		delete(d.live, changed.ID)
 	} else {
-		d.live[changed.ID] = true
+		d.live[changed.ID] = changed.Datacentre
 	}
 	d.liveDaemons.Store(int64(len(d.live)))
+	d.updateSpillRate()
 }
 
 // incarnationRaised passes the daemon's new incarnation to the guard. The membership
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -163,12 +163,13 @@
 		return
 	}
 	ended := picker.AttemptEnded{
-		Attempt: s.envelope.Attempt,
-		Backend: s.target.Backend.ID,
-		Class:   s.exchange.class,
-		Took:    took,
-		Verdict: s.verdict(ctx, err),
-		Report:  s.answer.Report.Load,
+		Attempt:     s.envelope.Attempt,
+		Backend:     s.target.Backend.ID,
+		Class:       s.exchange.class,
+		Took:        took,
+		Verdict:     s.verdict(ctx, err),
+		Report:      s.answer.Report.Load,
+		AnswerBytes: len(s.answer.Body),
 	}
 	i.Chooser.AttemptEnded(ended)
 	if ended.Verdict == verdict.OK {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -11,6 +11,7 @@
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
 	"berylpass/config/class"
+	"berylpass/config/home"
 	"berylpass/config/route"
 	"berylpass/config/snapshot"
 	"berylpass/decision"
@@ -267,6 +268,8 @@
 	target, err := x.ingress.Chooser.Pick(picker.Request{
 		Service: x.service, Exclude: p.Exclude,
 		MayBeTrial: x.reserve(), BodyBytes: len(x.request.Body), RunOnce: !x.route.Repeatable,
+		LargeAnswer: x.route.LargeAnswer, Priority: x.route.Priority,
+		HomeRegions: home.New(x.route, x.snapshot.Organisations[x.caller.organisation]).Regions(),
 	})
 	if err != nil {
 		return lifecycle.NoneAvailable{Reason: reasonNoBackend, RetryAfter: time.Second}
