roster, relay, freshness, pool: cross the link between regions once a region

A notice crosses once for each region, to a relay that forwards it there. Proof is asked for in another region by the first reader of a region only. Draws prefer holders of the own region, and the holders alternate between regions. Guards of other regions aren't asked for reports to compare peers with.

--- a/choice/picker/evaluate.go
+++ b/choice/picker/evaluate.go
@@ -29,6 +29,8 @@
 	// added for each guard of the fleet.
 	minTrialInterval  = time.Second
 	trialIntervalStep = 20 * time.Millisecond
+	// abroadTrialInterval multiplies these intervals for a backend server in another region.
+	abroadTrialInterval = 10
 	// evaluationInterval is the longest time between two evaluations of a group.
 	evaluationInterval = time.Second
 	// peerLevelRise is the rise of the logarithm of the peers' level that undoes an ejection as slow.
@@ -129,7 +131,7 @@
 	g.refresh()
 	for _, peer := range g.active {
 		asked := now.Sub(peer.askedAt) < askInterval
-		if asked || peer.reportAt.After(s.significantSince) || len(actions) == maxAsked {
+		if asked || !g.compares(peer) || peer.reportAt.After(s.significantSince) || len(actions) == maxAsked {
 			continue
 		}
 		peer.askedAt = now
@@ -141,15 +143,22 @@
 // reportedSince reports whether most active servers have reported since the given time.
 func (g *group) reportedSince(then time.Time) bool {
 	g.refresh()
-	reported := 0
+	reported, peers := 0, 0
 	for _, s := range g.active {
+		if !g.compares(s) {
+			continue
+		}
+		peers++
 		if s.reportAt.After(then) {
 			reported++
 		}
 	}
-	return 2*reported > len(g.active)
+	return 2*reported > peers
 }
 
+// compares reports whether reports of s are asked for to compare its peers with: those of other regions cost too much.
+func (g *group) compares(s *server) bool { return !g.byRegion || s.sameRegion }
+
 // evaluateEjected restores s at once if it was ejected as slow and its peers have become slow as well; else it
 // starts the trial after the ejection time.
 func (s *server) evaluateEjected(now time.Time, reason Reason, c comparison) []decision.Action {
@@ -196,6 +205,9 @@
 
 // askTrial requests a report from the guard of s, which covers the trial requests of all ingresses.
 func (s *server) askTrial(now time.Time, interval time.Duration) []decision.Action {
+	if !s.group.compares(s) {
+		interval *= abroadTrialInterval
+	}
 	if s.probation.State != probation.OnTrial || now.Sub(s.reportAt) < interval || now.Sub(s.askedAt) < interval {
 		return nil
 	}
--- a/choice/picker/region_test.go
+++ b/choice/picker/region_test.go
@@ -162,3 +162,39 @@
 		}
 	}
 }
+
+// TestPeersAreComparedWithinTheRegion checks that an ingress asks only guards of its own region for reports to compare a
+// slow backend server with, and ejects it by these.
+func TestPeersAreComparedWithinTheRegion(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := newRegionPicker(now, 6, WithRegions(ratedSpill(1e7)))
+	level := func(d time.Duration) report.Report {
+		return report.Report{Limit: 4}.WithLevel(0, report.Level{Time: d, Spread: 0.3, Samples: 400})
+	}
+	for _, s := range p.groupOrder[0].servers {
+		p.Update(now, ReportReceived{Backend: s.backend.ID, Report: level(100 * time.Millisecond)})
+	}
+	asked, ejected := 0, false
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		slow := level(900 * time.Millisecond)
+		slow.Slowness = 40
+		p.Update(now, ReportReceived{Backend: "i-00", Report: slow})
+		for _, a := range p.Update(now, Tick{}) {
+			switch a := a.(type) {
+			case RequestReport:
+				asked++
+				if !p.servers[a.Backend].sameRegion {
+					t.Errorf("%s in another region was asked for a report", a.Backend)
+				}
+				r := level(100 * time.Millisecond)
+				p.Update(now, AttemptEnded{Backend: a.Backend, Verdict: verdict.Shed, Report: &r})
+			case Ejected:
+				ejected = ejected || a.Backend == "i-00"
+			}
+		}
+	}
+	if asked == 0 || !ejected {
+		t.Errorf("%d reports asked for, ejected: %v; want some, and the slow backend server ejected", asked, ejected)
+	}
+}
--- a/config/freshness/freshness.go
+++ b/config/freshness/freshness.go
@@ -92,6 +92,11 @@
 	// Readers holds the other readers of its data centre, RemoteReaders those of the other
 	// data centres, and Neighbours other daemons of the fleet.
 	Readers, RemoteReaders, Neighbours []member.ID
+	// AbroadReaders holds the readers of other regions; RemoteReaders holds only those of the own one then. They are
+	// asked by the first reader of a region alone, which FirstOfRegion says of this daemon, so that proof crosses the
+	// link between regions once for each region.
+	AbroadReaders []member.ID
+	FirstOfRegion bool
 }
 
 // Freshness is the state of one daemon.
@@ -184,7 +189,11 @@
 func (f *Freshness) pickPeer(v View) member.ID {
 	candidates := v.Readers
 	if v.Reader {
-		candidates = slices.Sorted(slices.Values(slices.Concat(v.Readers, v.RemoteReaders)))
+		candidates = slices.Concat(v.Readers, v.RemoteReaders)
+		if v.FirstOfRegion {
+			candidates = append(candidates, v.AbroadReaders...)
+		}
+		slices.Sort(candidates)
 	}
 	switch {
 	case len(candidates) == 0 || f.askNeighbour || f.random.Float64() < neighbourShare:
--- a/config/freshness/freshness_test.go
+++ b/config/freshness/freshness_test.go
@@ -231,3 +231,30 @@
 		t.Errorf("%d reads in a minute, want %d to %d", reads, least, most)
 	}
 }
+
+// TestOnlyTheFirstReaderAsksOtherRegions checks that proof is asked for in another region by the first reader of a region
+// only, and that the others read the store if that one brings none.
+func TestOnlyTheFirstReaderAsksOtherRegions(t *testing.T) {
+	view := View{Age: 700 * time.Millisecond, Known: true, Reader: true, Rank: 3, Readers: []member.ID{"b-1"},
+		RemoteReaders: []member.ID{"b-2", "b-3"}, AbroadReaders: []member.ID{"a-1", "a-2"}, Neighbours: []member.ID{"b-7"}}
+	for _, first := range []bool{false, true} {
+		view.FirstOfRegion = first
+		f := New(0, rand.New(rand.NewPCG(1, 1)))
+		abroad, now := 0, 10*time.Second
+		for range 200 {
+			now += askInterval
+			if _, ask := f.Tick(now, view); ask == "a-1" || ask == "a-2" {
+				abroad++
+			}
+			f.RecordAsk(true)
+		}
+		if first != (abroad > 0) {
+			t.Errorf("first reader of its region: %v; %d of 200 calls went to another region", first, abroad)
+		}
+		view.Age = maxReaderReadAge + time.Millisecond
+		if read, _ := f.Tick(now+askInterval, view); !read {
+			t.Error("a reader with old proof doesn't read the store")
+		}
+		view.Age = 700 * time.Millisecond
+	}
+}
--- a/config/revision/follower.go
+++ b/config/revision/follower.go
@@ -128,8 +128,10 @@
 	caller   Caller
 	store    Store
 	clock    func() time.Time
-	onChange func(snapshot.Snapshot)
-	refused  func(from member.ID, err error)
+	// sameRegion reports whether a daemon is in this one's region; nil if regions make no difference.
+	sameRegion func(id member.ID) bool
+	onChange   func(snapshot.Snapshot)
+	refused    func(from member.ID, err error)
 	// onStoreAnswered is called, with mu held, when a read of the store was answered, with the time at which it began.
 	onStoreAnswered func(since time.Time)
 
@@ -186,6 +188,12 @@
 	return func(f *Follower) { f.refused = refused }
 }
 
+// WithRegion sets the function that reports whether another daemon is in the same region. Without it regions make no
+// difference.
+func WithRegion(same func(id member.ID) bool) Option {
+	return func(f *Follower) { f.sameRegion = same }
+}
+
 // WithOnStoreAnswered sets a function that is called after each read that the store answered, with the time at
 // which the read began, if WithProof is given. It must not block.
 func WithOnStoreAnswered(answered func(since time.Time)) Option {
--- a/config/revision/proof.go
+++ b/config/revision/proof.go
@@ -151,6 +151,9 @@
 			view.Rank++
 		}
 	}
+	if f.sameRegion != nil {
+		f.separateRegions(&view)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	view.Age, view.Known = f.proofAge()
@@ -163,6 +166,23 @@
 	}
 }
 
+// separateRegions moves the readers of other regions to their own list, and determines whether this daemon is the first
+// reader of its region.
+func (f *Follower) separateRegions(view *freshness.View) {
+	remote := view.RemoteReaders
+	view.RemoteReaders, view.FirstOfRegion = nil, view.Reader
+	for _, id := range remote {
+		if f.sameRegion(id) {
+			view.RemoteReaders = append(view.RemoteReaders, id)
+		} else {
+			view.AbroadReaders = append(view.AbroadReaders, id)
+		}
+	}
+	for _, id := range slices.Concat(view.Readers, view.RemoteReaders) {
+		view.FirstOfRegion = view.FirstOfRegion && f.fleet.Self() < id
+	}
+}
+
 // readProof reads the store's manifest, and the outages if they are due, and takes the
 // read as proof.
 func (f *Follower) readProof() {
--- a/daemon/notice.go
+++ b/daemon/notice.go
@@ -34,14 +34,15 @@
 	Backend backend.ID
 	// Load is the backend server's report.Report in its text form.
 	Load []byte
-	// PassOn asks the receiver to relay the notice to the other daemons of its data centre.
-	PassOn bool
+	// PassOn asks the receiver to relay the notice to the other daemons of its data centre, PassOnInRegion also to
+	// the other data centres of its region.
+	PassOn, PassOnInRegion bool
 }
 
 // NoticeReceiver receives the notices of other daemons by net/rpc.
 type NoticeReceiver struct {
 	chooser *chooser.Chooser
-	// relay sends a notice to the other daemons of this data centre. It must not block.
+	// relay sends a notice on as it asks. It must not block.
 	relay func(Notice)
 }
 
@@ -55,7 +56,6 @@
 	}
 	r.chooser.ReportReceived(n.Backend, load)
 	if n.PassOn {
-		n.PassOn = false
 		r.relay(n)
 	}
 	return nil
@@ -87,21 +87,34 @@
 	return true
 }
 
-// broadcastNotice sends a notice to the other daemons of this data centre, and to one
-// relay in each other data centre.
+// broadcastNotice sends a notice to the other daemons of this data centre, to one relay in each other data centre of this
+// region, and to one in each other region.
 func (d *Daemon) broadcastNotice(n Notice) {
-	plan := relay.New(d.self, d.members.Members())
-	n.PassOn = true
-	for _, candidates := range plan.Candidates() {
+	plan := relay.New(d.self, d.members.Members(), d.regions())
+	n.PassOn, n.PassOnInRegion = true, true
+	for _, candidates := range plan.Abroad() {
 		go d.sendToRelay(n, candidates)
 	}
-	n.PassOn = false
-	d.sendNotices(n, plan.Direct())
+	d.spreadNotice(n, plan)
 }
 
-// relayNotice sends a notice from another data centre to the other daemons of this one.
+// relayNotice sends a notice from another data centre to the other daemons of this one and, if it came from another
+// region, to the relays of this region's other data centres.
 func (d *Daemon) relayNotice(n Notice) {
-	go d.sendNotices(n, relay.New(d.self, d.members.Members()).Direct())
+	go d.spreadNotice(n, relay.New(d.self, d.members.Members(), d.regions()))
+}
+
+// spreadNotice sends a notice to the other daemons of this data centre and, if it asks for that, to the relays of this
+// region's other data centres.
+func (d *Daemon) spreadNotice(n Notice, plan relay.Plan) {
+	if n.PassOnInRegion {
+		n.PassOn, n.PassOnInRegion = true, false
+		for _, candidates := range plan.Candidates() {
+			go d.sendToRelay(n, candidates)
+		}
+	}
+	n.PassOn = false
+	d.sendNotices(n, plan.Direct())
 }
 
 // sendToRelay sends a notice to the first of the candidates that accepts it.
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -107,6 +107,9 @@
 	options = append(options,
 		revision.WithProof(o, maxProofAge, uptime),
 		revision.WithOnStoreAnswered(func(since time.Time) { go d.members.StoreAnswered(since) }))
+	if d.regions() != nil {
+		options = append(options, revision.WithRegion(d.inSameRegion))
+	}
 	return revision.New(o, d.members, d.mesh, o, options...)
 }
 
--- a/daemon/regions.go
+++ b/daemon/regions.go
@@ -9,6 +9,7 @@
 
 	"berylpass/choice/picker"
 	"berylpass/choice/spill"
+	"berylpass/fleet/member"
 	"berylpass/mesh/crossing"
 	"berylpass/monitor/event"
 )
@@ -31,6 +32,12 @@
 	return nil
 }
 
+// inSameRegion reports whether another daemon is in the region of this one. An unknown one counts as being there.
+func (d *Daemon) inSameRegion(id member.ID) bool {
+	m, ok := d.members.Member(id)
+	return !ok || d.regions()[m.Datacentre] == d.regions()[d.self.Datacentre]
+}
+
 // regionOptions returns the options of the picker that keep requests in their region.
 func (d *Daemon) regionOptions() []picker.Option {
 	if d.regions() == nil {
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -90,7 +90,7 @@
 // startGuard starts the limits, the chooser of backend servers and the guard.
 func (d *Daemon) startGuard(store *observed.Store) {
 	d.limits = enforcer.New(enforcer.Options{
-		Self: d.self.ID, Seed: d.self.Incarnation, Mesh: d.mesh, Fleet: &d.fleet, Clock: d.clock,
+		Self: d.self.ID, Seed: d.self.Incarnation, Mesh: d.mesh, Fleet: &d.fleet, Clock: d.clock, Regions: d.regions(),
 		HeardRevision: d.observer.HeardRevision,
 		TokenLifetime: d.tokenLifetime(), Slack: enforcer.Slack{Share: d.settings.Limits.LimitOvershoot, Requests: float64(d.settings.Limits.LimitSlack)},
 	})
@@ -135,6 +135,7 @@
 // startFleet joins the fleet and starts to follow the configuration.
 func (d *Daemon) startFleet(platform *client.Client, store *observed.Store, earlier membership.Start) {
 	options := append(d.membershipOptions(),
+		membership.WithRegions(d.regions()),
 		membership.WithSeeds(d.settings.Mesh.Seeds...),
 		membership.WithRandomSeed(d.self.Incarnation),
 		membership.WithOnMember(d.memberChanged),
--- a/fleet/membership/option.go
+++ b/fleet/membership/option.go
@@ -56,6 +56,11 @@
 // message.
 func WithOnClock(f func(roster.ClockReported)) Option { return func(o *options) { o.onClock = f } }
 
+// WithRegions keeps probes and gossip within the regions, which are given by data centre; see roster.WithRegions.
+func WithRegions(regions map[string]string) Option {
+	return func(o *options) { o.roster = append(o.roster, roster.WithRegions(regions)) }
+}
+
 // WithStart passes on what NewStart found of earlier runs. If the incarnation is not
 // confirmed, an earlier run may have had a higher one; the daemon then raises its own
 // above it.
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -7,15 +7,19 @@
 // a connection to each other one, and each change would be sent between data centres once
 // for each daemon there.
 //
+// If regions are given, a notice crosses the link to another region once: to a relay there, which
+// forwards it in the whole region.
+//
 // The relays are chosen by rendezvous hashing: a daemon keeps the same relays while they
 // are serving and none joins that ranks before them, and different daemons use different
 // relays. So there are few connections, and no relay forwards the notices of all daemons.
 //
 // # Usage
 //
-//	p := relay.New(self, members)
+//	p := relay.New(self, members, regions)
 //	for _, id := range p.Direct() { ... }
 //	for _, candidates := range p.Candidates() { ... } // the first that takes the notice forwards it
+//	for _, candidates := range p.Abroad() { ... }     // likewise, in its whole region
 package relay
 
 import (
@@ -27,7 +31,7 @@
 	"berylpass/fleet/member"
 )
 
-// maxCandidates is the maximum number of relays that are tried in one data centre.
+// maxCandidates is the maximum number of relays that are tried in one data centre or region.
 const maxCandidates = 2
 
 // Plan is the plan by which the notices of one daemon spread. The zero value sends them
@@ -35,19 +39,23 @@
 type Plan struct {
 	direct  []member.ID
 	relayed [][]member.ID
+	abroad  [][]member.ID
 }
 
 // New returns the plan of the daemon self for the given members of the fleet. Dead members
 // receive nothing. Suspected and leaving ones are relays only after all serving ones of
-// their data centre.
-func New(self member.Member, members []member.Member) Plan {
+// their data centre. Regions is the region of each data centre; nil if regions make no
+// difference.
+func New(self member.Member, members []member.Member, regions map[string]string) Plan {
 	var r Plan
-	remote := map[string][]member.Member{}
+	remote, abroad := map[string][]member.Member{}, map[string][]member.Member{}
 	for _, m := range members {
 		switch {
 		case m.ID == self.ID || m.State == member.Dead:
 		case m.Datacentre == self.Datacentre:
 			r.direct = append(r.direct, m.ID)
+		case regions[m.Datacentre] != regions[self.Datacentre]:
+			abroad[regions[m.Datacentre]] = append(abroad[regions[m.Datacentre]], m)
 		default:
 			remote[m.Datacentre] = append(remote[m.Datacentre], m)
 		}
@@ -56,16 +64,24 @@
 	for _, datacentre := range slices.Sorted(maps.Keys(remote)) {
 		r.relayed = append(r.relayed, candidates(self.ID, remote[datacentre]))
 	}
+	for _, region := range slices.Sorted(maps.Keys(abroad)) {
+		r.abroad = append(r.abroad, candidates(self.ID, abroad[region]))
+	}
 	return r
 }
 
 // Direct returns the daemons to which notices are sent directly, ordered by ID.
 func (p Plan) Direct() []member.ID { return p.direct }
 
-// Candidates returns for each other data centre the candidates for the relay there, in the
-// order in which they are to be tried.
+// Candidates returns for each other data centre of the own region the candidates for the
+// relay there, in the order in which they are to be tried.
 func (p Plan) Candidates() [][]member.ID { return p.relayed }
 
+// Abroad returns for each other region the candidates for the relay there, in the order in
+// which they are to be tried. The relay of a region forwards a notice by its own plan, to
+// the daemons of its data centre and the relays of its region's other ones.
+func (p Plan) Abroad() [][]member.ID { return p.abroad }
+
 // candidates returns the relays of the daemon self among the members of one data centre,
 // chosen by rendezvous hashing. It sorts members in place.
 func candidates(self member.ID, members []member.Member) []member.ID {
--- a/fleet/roster/exchange.go
+++ b/fleet/roster/exchange.go
@@ -53,13 +53,10 @@
 	if len(deltas) == 0 {
 		return
 	}
-	for i, n := range r.random.Perm(len(r.neighbours)) {
-		if i == pushFanout {
-			break
-		}
+	for _, id := range r.pushTargets() {
 		m := r.message(Push)
 		m.Deltas = deltas
-		r.send(r.neighbours[n], "", m)
+		r.send(id, "", m)
 	}
 }
 
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -90,6 +90,8 @@
 	table      table
 	queue      queue
 	neighbours []member.ID
+	// bridges are those of the neighbours that are in other regions, if WithRegions is given.
+	bridges []member.ID
 	// localWatchers and remoteWatchers are the results of Watchers.
 	localWatchers, remoteWatchers []member.ID
 	// known is the number of members that did not depart, self included;
@@ -261,7 +263,11 @@
 		return
 	}
 	r.stale = false
-	r.neighbours = r.table.successors(r.self.ID)
+	neighbours, bridges, ok := r.table.regionalSuccessors(r.self)
+	if !ok {
+		neighbours = r.table.successors(r.self.ID)
+	}
+	r.neighbours, r.bridges = neighbours, bridges
 	r.localWatchers, r.remoteWatchers = r.table.firstWatchers(r.self)
 	r.known, r.alive = r.table.count()
 }
--- a/fleet/roster/simulation_test.go
+++ b/fleet/roster/simulation_test.go
@@ -66,6 +66,10 @@
 	// counting reports whether traffic is counted.
 	counting bool
 	encoders map[[2]member.ID]*messageEncoder
+	// regions are the regions of the data centres, nil for none. crossing is the number of bytes between regions,
+	// places the region of each data centre by which they are counted.
+	regions, places map[string]string
+	crossing        int
 	// onAction is called after each action, if it is set.
 	onAction func(*host, decision.Action)
 }
@@ -161,6 +165,9 @@
 	if n.storeDown {
 		options = append(options, WithUnconfirmedIncarnation())
 	}
+	if n.regions != nil {
+		options = append(options, WithRegions(n.regions))
+	}
 	h.roster = New(self, seeds, n.random.Uint64(), n.now, options...)
 	if !n.storeDown && !h.storeUnreachable {
 		n.update(h, StoreRecords{Records: n.records()})
@@ -355,6 +362,9 @@
 	_ = c.encoder.Encode(m)
 	bytes := c.buffer.Len() + tlsOverheadBytes
 	c.buffer.Reset()
+	if n.places[n.hosts[from].datacentre] != n.places[n.hosts[to].datacentre] {
+		n.crossing += bytes
+	}
 	n.hosts[from].sent += bytes
 	n.hosts[to].received += bytes
 	n.hosts[from].messages++
--- a/fleet/roster/table.go
+++ b/fleet/roster/table.go
@@ -80,6 +80,8 @@
 	buckets [bucketCount]uint32
 	// size is the number of live records.
 	size int
+	// regions are the regions of the data centres; nil if they make no difference.
+	regions map[string]string
 	// goneBackends is the number of records of gone backend servers.
 	goneBackends int
 }
--- a/limit/enforcer/enforcer.go
+++ b/limit/enforcer/enforcer.go
@@ -148,6 +148,8 @@
 	Seed  uint64
 	Mesh  Mesh
 	Fleet Fleet
+	// Regions is the region of each data centre; nil if regions make no difference. Draws prefer their own region.
+	Regions map[string]string
 	// Slack is how far each limit may be exceeded; not at all if zero.
 	Slack Slack
 	// TokenLifetime is the time from the draw in which a token must be used; DefaultTokenLifetime
@@ -186,7 +188,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Enforcer{
-		options: options, ctx: ctx, cancel: cancel, pool: pool.New(options.Self, options.Seed), waiting: map[string]bool{},
+		options: options, ctx: ctx, cancel: cancel, pool: pool.New(options.Self, options.Seed, pool.WithRegions(options.Regions)), waiting: map[string]bool{},
 		membersChanged: make(chan struct{}, 1),
 	}
 	e.wait.Go(e.followMembers)
--- a/limit/pool/pool.go
+++ b/limit/pool/pool.go
@@ -56,6 +56,12 @@
 	// A daemon that is cut off from all others and the store counts as isolated 4 s after the last
 	// message of another daemon and the last answer of the store; see roster.Roster.Isolated.
 	MaxIsolation = 5 * time.Second
+	// regionBonusTokens is by how many tokens a holder in another region must be fuller to be asked first. Only a few
+	// holders are asked, and of the levels only old reports are known: a greater bonus refuses draws that another region
+	// could have served.
+	regionBonusTokens = 1
+	// preferredInRegion is the number of holders that are asked in the order that prefers the own region.
+	preferredInRegion = 2
 	// minHolders is the least number of holders of a limit, if there are as many daemons and
 	// the burst gives each a token. The loss of one holder then leaves two thirds of a limit.
 	minHolders = 3
@@ -128,6 +134,8 @@
 	deadSince map[member.ID]time.Time
 	// datacentres is the data centre of each member.
 	datacentres map[member.ID]string
+	// regions is the region of each data centre; nil if regions make no difference.
+	regions map[string]string
 	// announcedLeave holds the members that were seen Leaving: they have given up their shares,
 	// so they are no holders once they are dead.
 	announcedLeave map[member.ID]bool
@@ -158,13 +166,26 @@
 
 // New returns the pool of the daemon self, without members and limits. The seed
 // determines the order in which equally full holders are asked.
-func New(self member.ID, seed uint64) *Pool {
+func New(self member.ID, seed uint64, options ...Option) *Pool {
 	random := rand.New(rand.NewPCG(seed, digest(string(self))))
-	return &Pool{
+	p := &Pool{
 		self: self, random: random, sharesMayHaveMoved: true,
 		organisations: map[string]*organisationState{}, askable: map[member.ID]bool{},
 		deadSince: map[member.ID]time.Time{}, datacentres: map[member.ID]string{}, announcedLeave: map[member.ID]bool{},
 	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithRegions returns an Option that prefers holders in the own region to those in others unless these have clearly more
+// tokens. The regions are given by data centre.
+func WithRegions(regions map[string]string) Option {
+	return func(p *Pool) { p.regions = regions }
 }
 
 // SetLimits replaces the limits of all organisations. Lower limits take effect at once.
@@ -357,8 +378,16 @@
 	// Without the shuffle, all daemons would ask the same one of several holders that seem full.
 	p.random.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
 	slices.SortStableFunc(holders, func(a, b member.ID) int {
-		return cmp.Or(cmp.Compare(p.preference(b, levels[b]), p.preference(a, levels[a])), cmp.Compare(levels[b], levels[a]))
+		return cmp.Or(cmp.Compare(p.preference(b, levels[b]), p.preference(a, levels[a])),
+			cmp.Compare(levels[b]+p.regionBonus(b), levels[a]+p.regionBonus(a)))
 	})
+	if p.regions != nil && len(holders) > preferredInRegion {
+		// Only a few holders are asked. If the first ones turn out to be empty, the others of the region probably are too,
+		// whatever they last reported, and another region is asked.
+		slices.SortStableFunc(holders[preferredInRegion:], func(a, b member.ID) int {
+			return cmp.Compare(levels[b]-p.regionBonus(b), levels[a]-p.regionBonus(a))
+		})
+	}
 	return holders, available
 }
 
@@ -370,6 +399,14 @@
 	return 0
 }
 
+// regionBonus returns regionBonusTokens for a holder in this region, 0 for one in another, or if regions make no difference.
+func (p *Pool) regionBonus(id member.ID) float64 {
+	if p.regions == nil || p.regions[p.datacentres[id]] != p.regions[p.datacentres[p.self]] {
+		return 0
+	}
+	return regionBonusTokens
+}
+
 // RetryAfter returns the advised pause before a refused request is tried again. It is the time
 // in which the whole limit refills retryTokens tokens, because other requests of the
 // organisation compete for them, from minRetryAfter to maxRetryAfter.
@@ -500,6 +537,9 @@
 			}
 		}
 		slices.SortFunc(ranked, byRank)
+		if p.regions != nil {
+			p.alternateRegions(ranked)
+		}
 		for _, c := range ranked[:min(len(ranked), n-len(holders))] {
 			holders = append(holders, c.id)
 		}
@@ -507,6 +547,18 @@
 	return holders
 }
 
+// alternateRegions reorders ranked candidates of different data centres so that the first of each region come before the
+// second of any: a region with fewer holders than its part would have to draw from another.
+func (p *Pool) alternateRegions(ranked []candidate) {
+	seen, place := map[string]int{}, map[member.ID]int{}
+	for _, c := range ranked {
+		region := p.regions[p.datacentres[c.id]]
+		place[c.id] = seen[region]
+		seen[region]++
+	}
+	slices.SortStableFunc(ranked, func(a, b candidate) int { return cmp.Compare(place[a.id], place[b.id]) })
+}
+
 // insertRanked inserts c into best, which is sorted by rank, and keeps the n highest.
 func insertRanked(best []candidate, c candidate, n int) []candidate {
 	if len(best) == n {
