answer, leg: take only whole, well-formed answers

Cause: the kernel reports the reset of a connection once. While an upload is being written, the write may get it, and the read then sees the same end as after an orderly close, so that part of an answer without a length came as a whole one. Between daemons, crypto/tls takes the end of a TCP connection at a record boundary for the end of the stream, with the same effect. Besides, net/http takes any three digits as a status (000 was skipped as an interim answer by the leg and passed on by the forwarder) and a blank in a field's name, which turned "Content-Length : 2" into a body without a length.

Change: package answer reads answers in the strict form of RFC 9110 and 9112; the leg uses it instead of net/http. An answer that ends with its connection is whole only once the request has been written whole and without an error. The forwarder takes only answers whose framing shows their end. The field grammar moves from caller/framing to package header.

Ruled out: asking the kernel for the state of the connection (TCP_INFO): the write's outcome is enough and needs no further system call. Refusing equal repeated lengths: RFC 9110 allows one of them to be taken.

--- a/caller/framing/chunk.go
+++ b/caller/framing/chunk.go
@@ -1,6 +1,10 @@
 package framing
 
-import "fmt"
+import (
+	"fmt"
+
+	"berylpass/header"
+)
 
 // maxChunkDigits is the maximum number of hexadecimal digits in a chunk size.
 const maxChunkDigits = 8
@@ -92,7 +96,7 @@
 	if digits == 0 || len(extension) > 0 && extension[0] != ';' {
 		return 0, fmt.Errorf("%w: chunk size must be hexadecimal", ErrMalformed)
 	}
-	if !isValue(extension) {
+	if !header.IsValue(string(extension)) {
 		return 0, fmt.Errorf("%w: control character in a chunk extension", ErrMalformed)
 	}
 	return size, nil
--- a/caller/framing/head.go
+++ b/caller/framing/head.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"strconv"
 	"strings"
+
+	"berylpass/header"
 )
 
 const (
@@ -166,18 +168,9 @@
 // parseField splits a header line into its name and its trimmed value, and checks
 // the characters of both.
 func parseField(line []byte) (name, value []byte, err error) {
-	colon := bytes.IndexByte(line, ':')
-	if colon <= 0 {
-		return nil, nil, fmt.Errorf("%w: header line has no name", ErrMalformed)
-	}
-	name, value = line[:colon], trim(line[colon+1:])
-	for _, c := range name {
-		if !isToken(c) {
-			return nil, nil, fmt.Errorf("%w: invalid byte %#x in a header name", ErrMalformed, c)
-		}
-	}
-	if !isValue(value) {
-		return nil, nil, fmt.Errorf("%w: control character in header %q", ErrMalformed, name)
+	name, value, err = header.ParseField(line)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	return name, value, nil
 }
@@ -230,19 +223,3 @@
 }
 
 func trim(value []byte) []byte { return bytes.Trim(value, " \t") }
-
-// isValue reports whether all bytes are valid in a header value.
-func isValue(value []byte) bool {
-	for _, c := range value {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
-// isToken reports whether c is valid in a header name (RFC 9110, section 5.6.2).
-func isToken(c byte) bool {
-	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' ||
-		strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
-}
--- a/hop/forwarder/forwarder.go
+++ b/hop/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 	"sync/atomic"
 	"time"
 
+	"berylpass/answer"
 	"berylpass/hop"
 	"berylpass/mesh/link"
 )
@@ -166,8 +167,16 @@
 	return request, nil
 }
 
-// readAnswer reads the answer to the attempt of the envelope.
+// readAnswer reads the answer to the attempt of the envelope. A guard's answers show where
+// they end: without that, the end of a connection that was cut between two TLS records would
+// look like the end of the answer.
 func (f *Forwarder) readAnswer(response *http.Response, e hop.Envelope) (Answer, error) {
+	if err := answer.Check(response); err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrAnswerLost, err)
+	}
+	if !answer.IsDelimited(response) {
+		return Answer{}, fmt.Errorf("%w: answer has neither a Content-Length nor chunks", ErrAnswerLost)
+	}
 	report, err := hop.ReadReport(response.Header)
 	if err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrAnswerLost, err)
--- a/hop/forwarder/forwarder_test.go
+++ b/hop/forwarder/forwarder_test.go
@@ -51,8 +51,8 @@
 	return l.Address()
 }
 
-// answer writes a complete answer to the attempt with a body of size bytes.
-func answer(w http.ResponseWriter, attempt id.ID, size int) {
+// writeAnswer writes a complete answer to the attempt with a body of size bytes.
+func writeAnswer(w http.ResponseWriter, attempt id.ID, size int) {
 	hop.Report{Attempt: attempt, Ending: hop.Ran}.Write(w.Header())
 	_, _ = w.Write(make([]byte, size))
 }
@@ -64,8 +64,8 @@
 func TestForward(t *testing.T) {
 	key := meshKey(t)
 	other := id.New("vm-9", 9, 9)
-	whole := serve(t, key, func(w http.ResponseWriter, e hop.Envelope) { answer(w, e.Attempt, 1<<20) })
-	crossed := serve(t, key, func(w http.ResponseWriter, _ hop.Envelope) { answer(w, other, 10) })
+	whole := serve(t, key, func(w http.ResponseWriter, e hop.Envelope) { writeAnswer(w, e.Attempt, 1<<20) })
+	crossed := serve(t, key, func(w http.ResponseWriter, _ hop.Envelope) { writeAnswer(w, other, 10) })
 	cut := serve(t, key, func(http.ResponseWriter, hop.Envelope) { panic(http.ErrAbortHandler) })
 	f := New(key.ClientTLS(), 1<<20)
 	small := New(key.ClientTLS(), 1<<10)
@@ -96,7 +96,7 @@
 	release := make(chan struct{})
 	address := serve(t, key, func(w http.ResponseWriter, e hop.Envelope) {
 		<-release
-		answer(w, e.Attempt, 1)
+		writeAnswer(w, e.Attempt, 1)
 	})
 	defer close(release)
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -144,7 +144,7 @@
 func TestLargeBodiesAreLimited(t *testing.T) {
 	key := meshKey(t)
 	address, accepted := unresponsiveGuard(t, key)
-	quick := serve(t, key, func(w http.ResponseWriter, e hop.Envelope) { answer(w, e.Attempt, 1) })
+	quick := serve(t, key, func(w http.ResponseWriter, e hop.Envelope) { writeAnswer(w, e.Attempt, 1) })
 	f := New(key.ClientTLS(), 1<<20)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -184,7 +184,7 @@
 		if e.Attempt.Request%2 == 0 {
 			panic(http.ErrAbortHandler)
 		}
-		answer(w, e.Attempt, 1)
+		writeAnswer(w, e.Attempt, 1)
 	})
 	f := New(key.ClientTLS(), 1<<20)
 	for n := range uint64(20) {
@@ -211,7 +211,7 @@
 // BenchmarkForward measures the hop as it is in use: net/http's transport to an nbhttp server.
 func BenchmarkForward(b *testing.B) {
 	key := meshKey(b)
-	address := serve(b, key, func(w http.ResponseWriter, e hop.Envelope) { answer(w, e.Attempt, 512) })
+	address := serve(b, key, func(w http.ResponseWriter, e hop.Envelope) { writeAnswer(w, e.Attempt, 512) })
 	f := New(key.ClientTLS(), 1<<20)
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
@@ -227,7 +227,7 @@
 // BenchmarkForwardWithNbhttpClient measures the same hop with nbhttp's client, for comparison.
 func BenchmarkForwardWithNbhttpClient(b *testing.B) {
 	key := meshKey(b)
-	address := serve(b, key, func(w http.ResponseWriter, e hop.Envelope) { answer(w, e.Attempt, 512) })
+	address := serve(b, key, func(w http.ResponseWriter, e hop.Envelope) { writeAnswer(w, e.Attempt, 512) })
 	engine := nbhttp.NewEngine(nbhttp.Config{})
 	if err := engine.Start(); err != nil {
 		b.Fatal(err)
--- a/hop/forwarder/session_test.go
+++ b/hop/forwarder/session_test.go
@@ -25,7 +25,7 @@
 	}
 	f := New(config, 1<<20)
 	for n := range uint64(guards) {
-		address := serve(t, meshKey(t), func(w http.ResponseWriter, e hop.Envelope) { answer(w, e.Attempt, 1) })
+		address := serve(t, meshKey(t), func(w http.ResponseWriter, e hop.Envelope) { writeAnswer(w, e.Attempt, 1) })
 		for range 2 {
 			if _, err := f.Forward(context.Background(), address, envelope(n), Request{Method: "GET", Target: "/", Host: "h"}); err != nil {
 				t.Fatal(err)
--- a/leg/exchange.go
+++ b/leg/exchange.go
@@ -5,15 +5,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
-	"math"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"berylpass/answer"
 )
 
 const (
@@ -26,6 +26,10 @@
 	// bodyWriteGrace is how long to wait for the end of a background body write once the
 	// answer has arrived.
 	bodyWriteGrace = 5 * time.Millisecond
+	// closeGrace is how long to wait for the end of a background body write once the end of the
+	// connection has ended an answer. A write to a closed connection fails at once, so only a
+	// backend server that closes its own direction first and reads on needs the time.
+	closeGrace = time.Second
 )
 
 var errTooLate = errors.New("too late to send the request")
@@ -55,36 +59,40 @@
 	if err != nil {
 		return Answer{}, false, err
 	}
-	answer, keep, err := l.read(c, r)
+	answer, keep, err := l.read(c, r, sent)
 	if err != nil {
 		return Answer{}, false, err
 	}
 	// If the answer came before the whole body was written, the connection is not reused:
 	// the backend server could take the rest of the body for another request.
-	return answer, keep && sent() && c.in.Buffered() == 0, nil
+	return answer, keep && sent(bodyWriteGrace) && c.in.Buffered() == 0, nil
 }
 
-// send writes the request, a body of more than maxInlineBody bytes in the background. The
-// function it returns reports whether the whole request has been written.
-func send(c *conn, head, body []byte) (sent func() bool, err error) {
+// sentWithin waits for the end of a request's write, for at most the given time. It reports
+// whether the whole request has been written.
+type sentWithin func(time.Duration) bool
+
+// send writes the request, a body of more than maxInlineBody bytes in the background.
+func send(c *conn, head, body []byte) (sentWithin, error) {
 	if len(body) <= maxInlineBody {
 		_, err := c.Write(append(head, body...))
-		return func() bool { return true }, err
+		return func(time.Duration) bool { return true }, err
 	}
 	if _, err := c.Write(head); err != nil {
 		return nil, err
 	}
-	done := make(chan error, 1)
+	whole, done := false, make(chan struct{})
 	go func() {
+		defer close(done)
 		_, err := c.Write(body)
-		done <- err
+		whole = err == nil
 	}()
-	return func() bool {
-		timer := time.NewTimer(bodyWriteGrace)
+	return func(patience time.Duration) bool {
+		timer := time.NewTimer(patience)
 		defer timer.Stop()
 		select {
-		case err := <-done:
-			return err == nil
+		case <-done:
+			return whole
 		case <-timer.C:
 			return false
 		}
@@ -115,36 +123,33 @@
 
 // read returns the complete answer to r and reports whether the connection may be kept. It
 // skips interim answers and those to other requests.
-func (l *Leg) read(c *conn, r Request) (Answer, bool, error) {
+func (l *Leg) read(c *conn, r Request, sent sentWithin) (Answer, bool, error) {
 	keep := true
 	for range maxSkippedAnswers {
-		response, err := readHead(c, r.Method)
+		head, err := readHead(c)
 		if err != nil {
 			return Answer{}, false, err
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
+		if head.Status == http.StatusSwitchingProtocols {
 			return Answer{}, false, ErrUpgrade
 		}
-		if response.StatusCode < http.StatusOK {
+		if head.Status < http.StatusOK {
 			continue
 		}
-		reading := l.dialect.Read(r, response.StatusCode, response.Header)
-		body, err := l.readBody(r.Method, response)
+		reading := l.dialect.Read(r, head.Status, head.Header)
+		body, err := l.readBody(c, r.Method, head, sent)
 		if err != nil {
 			return Answer{}, false, err
 		}
-		if err := response.Body.Close(); err != nil {
-			return Answer{}, false, err
-		}
 		if reading.OtherRequest {
 			keep = false
 			continue
 		}
-		keep = keep && !response.Close
-		c.idleTimeout = parseIdleTimeout(response.Header)
+		keep = keep && !head.Close && head.Ending(r.Method) != answer.ByClose
+		c.idleTimeout = parseIdleTimeout(head.Header)
 		return Answer{
-			Status:     response.StatusCode,
-			Header:     l.dialect.AnswerHeader(response.Header),
+			Status:     head.Status,
+			Header:     l.dialect.AnswerHeader(head.Header),
 			Body:       body,
 			AnswerInfo: reading,
 		}, keep, nil
@@ -161,53 +166,33 @@
 	return errors.Is(err, errNoAnswer) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// readHead reads the status line and the headers of one answer, of at most
-// maxAnswerHeader bytes.
-func readHead(c *conn, method string) (*http.Response, error) {
-	c.limit.N = maxAnswerHeader
+// readHead reads the head of one answer, of at most maxAnswerHeader bytes.
+func readHead(c *conn) (answer.Head, error) {
 	if _, err := c.in.Peek(1); err != nil {
-		return nil, fmt.Errorf("%w: %w", errNoAnswer, err)
-	}
-	response, err := http.ReadResponse(c.in, &http.Request{Method: method})
-	if err != nil && c.limit.N <= 0 {
-		return nil, ErrTooLarge
+		return answer.Head{}, fmt.Errorf("%w: %w", errNoAnswer, err)
 	}
-	c.limit.N = math.MaxInt64
-	return response, err
+	return answer.ReadHead(c.in, maxAnswerHeader)
 }
 
 // readBody returns the whole body of an answer of at most l.maxAnswer bytes. Its errors are
-// ErrUnframed, ErrTooLarge and those of reading.
-func (l *Leg) readBody(method string, response *http.Response) ([]byte, error) {
-	if !hasBody(method, response.StatusCode) {
-		return nil, nil
-	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !l.dialect.AllowsCloseDelimited() {
+// ErrUnframed, ErrCut and those of answer.Head.
+func (l *Leg) readBody(c *conn, method string, head answer.Head, sent sentWithin) ([]byte, error) {
+	byClose := head.Ending(method) == answer.ByClose
+	if byClose && !l.dialect.AllowsCloseDelimited() {
 		return nil, ErrUnframed
 	}
-	if response.ContentLength > l.maxAnswer {
-		return nil, ErrTooLarge
-	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, l.maxAnswer+1))
+	body, err := head.ReadBody(c.in, method, l.maxAnswer)
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(body)) > l.maxAnswer {
-		return nil, ErrTooLarge
+	// The kernel reports a reset only once. If the write under way got it, the read sees the
+	// same end as after an orderly close.
+	if byClose && !sent(closeGrace) {
+		return nil, ErrCut
 	}
 	return body, nil
 }
 
-// hasBody reports whether an answer with the status to a request with the method has a body.
-func hasBody(method string, status int) bool {
-	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 // parseIdleTimeout returns how long a connection may be idle after an answer with these
 // headers and still be reused: the timeout of the Keep-Alive header less idleMargin.
 func parseIdleTimeout(h http.Header) time.Duration {
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -14,7 +14,9 @@
 //
 // An answer is whole only if its framing says so: the Content-Length was reached, the
 // last chunk has come, or the status allows no body. If the dialect allows answers that
-// end with their connection, an orderly close ends one, but a reset doesn't.
+// end with their connection, an orderly close ends one once the request has been sent
+// whole, but a reset doesn't. Bytes that are no answer by package answer end the request as
+// unknown.
 //
 // # Usage
 //
@@ -33,6 +35,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"berylpass/answer"
 )
 
 const (
@@ -50,7 +54,12 @@
 	ErrUnknown = errors.New("request may have run")
 	// ErrTooLarge reports, wrapped in ErrUnknown, an answer whose headers or body are too
 	// large.
-	ErrTooLarge = errors.New("answer is too large")
+	ErrTooLarge = answer.ErrTooLarge
+	// ErrMalformed reports, wrapped in ErrUnknown, bytes that are no answer.
+	ErrMalformed = answer.ErrMalformed
+	// ErrCut reports, wrapped in ErrUnknown, an answer that ended with its connection before the
+	// whole request was sent: the connection may have been reset.
+	ErrCut = errors.New("connection ended before the request was sent whole")
 	// ErrUnframed reports, wrapped in ErrUnknown, an answer with neither a Content-Length
 	// nor chunks: its end can't be distinguished from a lost connection.
 	ErrUnframed = errors.New("answer has neither a Content-Length nor chunks")
--- a/leg/pool.go
+++ b/leg/pool.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -31,9 +30,7 @@
 // conn is a connection to a backend server. It counts the bytes written to it.
 type conn struct {
 	net.Conn
-	in *bufio.Reader
-	// limit bounds the bytes that in reads from the connection.
-	limit   *io.LimitedReader
+	in      *bufio.Reader
 	written atomic.Int64
 	// writtenBefore is the value of written at the start of the current request.
 	writtenBefore int64
@@ -89,8 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	limit := &io.LimitedReader{R: raw}
-	return &conn{Conn: raw, in: bufio.NewReader(limit), limit: limit, idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: raw, in: bufio.NewReader(raw), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // take removes the last used connection that can carry another request from the pool and
--- a/operate/demo/traffic.go
+++ b/operate/demo/traffic.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"berylpass/answer"
 	"berylpass/emulator"
 	"berylpass/ingress"
 )
@@ -119,7 +120,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	r.incomplete = err != nil
+	r.incomplete = err != nil || answer.Check(response) != nil || !answer.IsDelimited(response)
 	r.body, r.status, r.took = string(body), response.StatusCode, time.Since(start)
 	r.outcome = ingress.Outcome(response.Header.Get(ingress.OutcomeHeader))
 	return r
--- a/operate/load/load.go
+++ b/operate/load/load.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"berylpass/answer"
 )
 
 // outcomeHeader is the response header in which a daemon reports the outcome of a request.
@@ -104,7 +106,8 @@
 }
 
 // exchange sends one request and returns its outcome: that reported by a daemon in outcomeHeader, over-limit for status
-// 429, failed for a transport error or any other status from 500, and answered otherwise.
+// 429, failed for a transport error, an answer that is malformed or may be cut short and any other status from 500, and
+// answered otherwise.
 func (l *Load) exchange(ctx context.Context, base string, o Organisation, r Route, n uint64) string {
 	request, err := http.NewRequestWithContext(ctx, r.Method, base+r.Path, bytes.NewReader(make([]byte, r.Body)))
 	if err != nil {
@@ -122,6 +125,9 @@
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return "failed"
 	}
+	if answer.Check(response) != nil || !answer.IsDelimited(response) {
+		return "failed"
+	}
 	if response.StatusCode == http.StatusTooManyRequests {
 		return "over-limit"
 	}
