choice, guard, ingress: requests are queued by the priorities of routes and organisations

Cause: the guard's queue knows three classes, so requests of priority 0 and 1 share a class, and a call of running work only outweighs other requests 2:1. A parent and its call hold two slots; a call that waits costs room twice. Change: choice/urgency ranks a request by its organisation's priority, or else its route's; a call inherits level and organisation of the run on its VM whose deadline it shares, and goes before newcomers. The queue takes levels in order of urgency but for a least share (6%, 2%, 1% beside the first level), within a level requests that can still meet their target first (one in four regardless), calls of more urgent requests before others. A full queue makes room for a more urgent request. As many slots as calls used lately are kept free of newcomers. On the platform's dialect only; elsewhere weights and shares are as before. Ruled out: strict priority (starves), unlike weights without a least share. In one run of daemon TestOutcomeOfRestartedGuard under -race on the busy machine timed out once and passed 4 of 4 repeated alone; not traced.

--- a/choice/fairqueue/estimate.go
+++ b/choice/fairqueue/estimate.go
@@ -2,53 +2,53 @@
 
 import (
 	"berylpass/attempt/id"
-	"berylpass/config/class"
+	"berylpass/choice/urgency"
 )
 
-// protectedBackground is the number of background requests that other classes never displace.
-const protectedBackground = 2
+// protectedLeast is the number of requests of a level that more urgent ones never displace.
+const protectedLeast = 2
 
-// EstimateAhead returns an estimate of how many queued requests run before a new one of the organisation.
-func (q *Queue) EstimateAhead(c class.Class, organisation string) float64 {
-	l := &q.classes[c]
+// EstimateAhead returns an estimate of how many queued requests run before a new one of the rank.
+func (q *Queue) EstimateAhead(r urgency.Rank) float64 {
+	l := &q.levels[r.Level]
 	own := 0
-	if f, ok := l.flows[organisation]; ok {
+	if f, ok := l.flows[r.Owner]; ok {
 		own = len(f.items)
 	}
-	sameClass := own
+	sameLevel := own
 	for _, f := range l.active {
-		if f.organisation != organisation {
-			sameClass += min(len(f.items), own+1)
+		if f.organisation != r.Owner {
+			sameLevel += min(len(f.items), own+1)
 		}
 	}
-	total := float64(sameClass)
-	for k := range q.classes {
-		if class.Class(k) != c {
-			total += min(float64(q.classes[k].length), float64(sameClass+1)*weights[k]/weights[c])
+	total := float64(sameLevel)
+	for k := range q.levels {
+		if urgency.Level(k) != r.Level {
+			total += min(float64(q.levels[k].length), float64(sameLevel+1)*q.weights[k]/q.weights[r.Level])
 		}
 	}
 	return total
 }
 
-// Victim returns the ID of the queued request that a new one of the organisation should displace: the newest
-// background request if the new one is of another class, else the newest of the longest flow. It returns false
-// if that flow is not longer than the organisation's own would become.
-func (q *Queue) Victim(c class.Class, organisation string) (id.ID, bool) {
-	background := &q.classes[class.Background]
-	if c != class.Background && background.length > protectedBackground {
-		return newest(background.longest()), true
+// Victim returns the ID of the queued request that a new one of the rank should displace: the newest of the least
+// urgent level below its own, if that has more than protectedLeast, else the newest of the longest flow of its own
+// level. It returns false if that flow is not longer than the organisation's own would become.
+func (q *Queue) Victim(r urgency.Rank) (id.ID, bool) {
+	for k := urgency.Fourth; k > r.Level && k >= q.yielding(); k-- {
+		if l := &q.levels[k]; l.length > protectedLeast {
+			return newest(l.longest()), true
+		}
 	}
 	own := 0
-	if f, ok := q.classes[c].flows[organisation]; ok {
+	if f, ok := q.levels[r.Level].flows[r.Owner]; ok {
 		own = len(f.items)
 	}
-	first, last := class.Reservation, class.Transfer
-	if c == class.Background {
-		first, last = c, c
-	}
 	var longest *flow
-	for k := first; k <= last; k++ {
-		f := q.classes[k].longest()
+	for k := urgency.Call; k < urgency.Count; k++ {
+		if k != r.Level && (k >= q.yielding() || r.Level >= q.yielding()) {
+			continue
+		}
+		f := q.levels[k].longest()
 		if f != nil && (longest == nil || len(f.items) > len(longest.items)) {
 			longest = f
 		}
@@ -59,9 +59,18 @@
 	return newest(longest), true
 }
 
+// yielding returns the most urgent level whose requests are displaced by any more urgent one. Without precedence
+// only the third and fourth are: those of the levels before displace each other by the length of their flows.
+func (q *Queue) yielding() urgency.Level {
+	if q.weights == precedence {
+		return urgency.Call
+	}
+	return urgency.Third
+}
+
 // longest returns the flow with the most queued requests, the first in order if there are several; nil if the
-// class has no queued requests.
-func (l *classQueue) longest() *flow {
+// level has no queued requests.
+func (l *levelQueue) longest() *flow {
 	var longest *flow
 	for _, f := range l.active {
 		if longest == nil || len(f.items) > len(longest.items) {
--- a/choice/fairqueue/fairqueue.go
+++ b/choice/fairqueue/fairqueue.go
@@ -1,66 +1,95 @@
 // Package fairqueue implements the fair queue of requests for one backend server.
 //
-// Classes share the slots by weight, so that background work yields without starving: while all classes have
-// queued requests, reservations get 16 of 25 parts of the slot time, transfers 8 and background work 1. Within
-// a class, organisations share equally. Both levels use start-time fair queueing (Goyal, Vin, Cheng, 1996): the
+// Levels of urgency share the slots by weight, so that less urgent work yields without starving: by default, while
+// the first three levels of newcomers have queued requests, they get 16, 8 and 1 of 25 parts of the slot time.
+// WithPrecedence makes the weights so steep that a level goes before all less urgent ones but for a least share.
+// Within a level, organisations share equally. Both use start-time fair queueing (Goyal, Vin, Cheng, 1996): the
 // flow with the least virtual time is served first. Settle replaces the expected slot time by the actual one,
 // so that an organisation with long requests gets no more than one with short ones. Within an organisation,
 // requests are served in order of arrival.
 //
+// A request that can still be answered within its target goes before those of its level that can't, but for one in
+// lateTurn. Among calls, those of more urgent requests go first.
+//
 // # Usage
 //
 //	q := fairqueue.New()
 //	q.Push(item)
-//	item, ok := q.Pop()
-//	q.Settle(item.Class, item.Organisation, took-item.Cost)
+//	item, ok := q.Pop(now, urgency.Fourth)
+//	q.Settle(item.Rank, took-item.Cost)
 package fairqueue
 
 import (
+	"slices"
 	"time"
 
 	"berylpass/attempt/id"
+	"berylpass/choice/urgency"
 	"berylpass/config/class"
 )
 
-// weights are the shares of the slot time that the classes get while all of them have queued requests.
-var weights = [class.Count]float64{class.Reservation: 16, class.Transfer: 8, class.Background: 1}
+// Weights are the shares of the slot time that the levels get while all of them have queued requests.
+type Weights [urgency.Count]float64
+
+var (
+	defaultWeights = Weights{urgency.Call: 64, urgency.First: 16, urgency.Second: 8, urgency.Third: 1, urgency.Fourth: 1}
+	// precedence leaves the second level a least share of 6% beside the first, the third 2% and the fourth 1%:
+	// enough for work to go on, little enough that none is served more often than a more urgent level.
+	precedence = Weights{urgency.Call: 4096, urgency.First: 400, urgency.Second: 24, urgency.Third: 8, urgency.Fourth: 4}
+)
 
-// maxIdleFlows is the number of flows without queued requests that a class may keep.
-const maxIdleFlows = 64
+const (
+	// maxIdleFlows is the number of flows without queued requests that a level may keep.
+	maxIdleFlows = 64
+	// lateTurn is the number of requests of a level of which one is taken in order of the flows, although others
+	// can still be answered within their target.
+	lateTurn = 4
+)
 
 // Item is a queued request.
 type Item struct {
-	ID           id.ID
-	Organisation string
-	Class        class.Class
-	Arrived      time.Time
+	ID id.ID
+	// Rank decides the place in the queue. Its level must not be urgency.Unranked.
+	Rank    urgency.Rank
+	Class   class.Class
+	Arrived time.Time
+	// Target is until when the answer should arrive; zero for no such time.
+	Target time.Time
 	// Expires is when the caller stops waiting for the answer.
 	Expires time.Time
 	// Cost is the expected slot time of the request.
 	Cost time.Duration
 }
 
+// inTime reports whether the request can be answered within its target if it starts at the time now.
+func (i Item) inTime(now time.Time) bool {
+	return i.Target.IsZero() || !now.Add(i.Cost).After(i.Target)
+}
+
 // Queue is a fair queue of requests. It is not safe for concurrent use.
 type Queue struct {
-	classes [class.Count]classQueue
-	// clock is the virtual clock of the classes, in seconds.
+	weights Weights
+	levels  [urgency.Count]levelQueue
+	// clock is the virtual clock of the levels, in seconds.
 	clock float64
 	// length is the number of queued requests.
 	length int
 }
 
-// classQueue is the queue of a class.
-type classQueue struct {
+// levelQueue is the queue of a level.
+type levelQueue struct {
 	flows map[string]*flow
 	// active lists the flows with queued requests, in the order in which they got their first.
 	active []*flow
-	// virtualTime is the virtual time of the class among the classes; clock is the virtual clock of its flows.
+	// virtualTime is the virtual time of the level among the levels; clock is the virtual clock of its flows.
 	// Both are in seconds.
 	virtualTime, clock float64
 	length             int
+	// turn counts the requests taken, for lateTurn.
+	turn int
 }
 
-// flow is the queue of one organisation in a class.
+// flow is the queue of one organisation in a level.
 type flow struct {
 	organisation string
 	items        []Item
@@ -68,11 +97,20 @@
 	virtualTime float64
 }
 
+// Option configures a Queue.
+type Option func(*Queue)
+
+// WithPrecedence returns an Option that lets each level go before all less urgent ones but for a least share of these.
+func WithPrecedence() Option { return func(q *Queue) { q.weights = precedence } }
+
 // New returns an empty Queue.
-func New() *Queue {
-	q := &Queue{}
-	for c := range q.classes {
-		q.classes[c].flows = make(map[string]*flow)
+func New(options ...Option) *Queue {
+	q := &Queue{weights: defaultWeights}
+	for l := range q.levels {
+		q.levels[l].flows = make(map[string]*flow)
+	}
+	for _, option := range options {
+		option(q)
 	}
 	return q
 }
@@ -83,16 +121,16 @@
 // Flows returns the number of flows in memory, with and without queued requests.
 func (q *Queue) Flows() int {
 	n := 0
-	for c := range q.classes {
-		n += len(q.classes[c].flows)
+	for l := range q.levels {
+		n += len(q.levels[l].flows)
 	}
 	return n
 }
 
 // Push adds a request at the end of its organisation's flow.
 func (q *Queue) Push(item Item) {
-	l := &q.classes[item.Class]
-	f := l.flow(item.Organisation)
+	l := &q.levels[item.Rank.Level]
+	f := l.flow(item.Rank.Owner)
 	if l.length == 0 {
 		l.virtualTime = max(l.virtualTime, q.clock)
 	}
@@ -105,35 +143,68 @@
 	q.length++
 }
 
-// Pop removes and returns the next request to run and charges its cost. It returns false if the queue is empty.
-func (q *Queue) Pop() (Item, bool) {
-	l := q.nextClass()
+// Queued returns the number of queued requests of a level.
+func (q *Queue) Queued(l urgency.Level) int { return q.levels[l].length }
+
+// Pop removes and returns the next request to run at the time now and charges its cost. It takes none that is less
+// urgent than the level least, and returns false if there is no other.
+func (q *Queue) Pop(now time.Time, least urgency.Level) (Item, bool) {
+	l := q.nextLevel(least)
 	if l == nil {
 		return Item{}, false
 	}
-	f := l.active[0]
-	for _, o := range l.active[1:] {
-		if o.virtualTime < f.virtualTime {
-			f = o
+	f, i := l.next(now)
+	item := f.items[i]
+	q.remove(l, f, i)
+	q.charge(l, f, item.Rank.Level, item.Cost)
+	return item, true
+}
+
+// next returns the flow and the index of the request that is served next. There must be one.
+func (l *levelQueue) next(now time.Time) (*flow, int) {
+	l.turn++
+	if l.turn%lateTurn != 0 {
+		if f, i := l.first(func(item Item) bool { return item.inTime(now) }); f != nil {
+			return f, i
+		}
+	}
+	return l.first(func(Item) bool { return true })
+}
+
+// first returns the flow with the least virtual time among those with a suitable request, and the index of the
+// first such request. Requests that have inherited a more urgent level go first. It returns nil if there is none.
+func (l *levelQueue) first(suitable func(Item) bool) (best *flow, at int) {
+	for _, f := range l.active {
+		i := slices.IndexFunc(f.items, suitable)
+		if i < 0 {
+			continue
+		}
+		if best == nil || before(f.items[i], f, best.items[at], best) {
+			best, at = f, i
 		}
 	}
-	item := f.items[0]
-	q.remove(l, f, 0)
-	q.charge(l, f, item.Class, item.Cost)
-	return item, true
+	return best, at
+}
+
+// before reports whether the request a of the flow f goes before the request b of the flow g.
+func before(a Item, f *flow, b Item, g *flow) bool {
+	if a.Rank.Inherited != b.Rank.Inherited {
+		return a.Rank.Inherited < b.Rank.Inherited
+	}
+	return f.virtualTime < g.virtualTime
 }
 
 // Charge charges slot time for a request that runs without having been queued.
-func (q *Queue) Charge(c class.Class, organisation string, cost time.Duration) {
-	l := &q.classes[c]
-	f := l.flow(organisation)
+func (q *Queue) Charge(r urgency.Rank, cost time.Duration) {
+	l := &q.levels[r.Level]
+	f := l.flow(r.Owner)
 	if len(f.items) == 0 {
 		f.virtualTime = max(f.virtualTime, l.clock)
 	}
 	if l.length == 0 {
 		l.virtualTime = max(l.virtualTime, q.clock)
 	}
-	q.charge(l, f, c, cost)
+	q.charge(l, f, r.Level, cost)
 	if len(l.flows) > len(l.active)+maxIdleFlows {
 		l.dropIdle()
 	}
@@ -141,18 +212,18 @@
 
 // Settle corrects the slot time charged for a request by the difference between the actual and the charged
 // time.
-func (q *Queue) Settle(c class.Class, organisation string, difference time.Duration) {
-	l := &q.classes[c]
-	if f, ok := l.flows[organisation]; ok {
+func (q *Queue) Settle(r urgency.Rank, difference time.Duration) {
+	l := &q.levels[r.Level]
+	if f, ok := l.flows[r.Owner]; ok {
 		f.virtualTime += difference.Seconds()
-		l.virtualTime += difference.Seconds() / weights[c]
+		l.virtualTime += difference.Seconds() / q.weights[r.Level]
 	}
 }
 
 // Remove removes and returns the request with the given ID. It returns false if the request is not queued.
 func (q *Queue) Remove(attempt id.ID) (Item, bool) {
-	for c := range q.classes {
-		l := &q.classes[c]
+	for n := range q.levels {
+		l := &q.levels[n]
 		for _, f := range l.active {
 			for i, item := range f.items {
 				if item.ID == attempt {
@@ -168,8 +239,8 @@
 // Filter removes and returns the requests for which drop returns true, in a deterministic order.
 func (q *Queue) Filter(drop func(Item) bool) []Item {
 	var dropped []Item
-	for c := range q.classes {
-		l := &q.classes[c]
+	for n := range q.levels {
+		l := &q.levels[n]
 		for a := len(l.active) - 1; a >= 0; a-- {
 			f := l.active[a]
 			for i := len(f.items) - 1; i >= 0; i-- {
@@ -183,12 +254,12 @@
 	return dropped
 }
 
-// nextClass returns the class with the least virtual time among those with queued requests; nil if there is
-// none.
-func (q *Queue) nextClass() *classQueue {
-	var best *classQueue
-	for c := range q.classes {
-		l := &q.classes[c]
+// nextLevel returns the level with the least virtual time among those with queued requests that are not less urgent
+// than least; nil if there is none.
+func (q *Queue) nextLevel(least urgency.Level) *levelQueue {
+	var best *levelQueue
+	for n := range q.levels[:least+1] {
+		l := &q.levels[n]
 		if l.length > 0 && (best == nil || l.virtualTime < best.virtualTime) {
 			best = l
 		}
@@ -197,16 +268,16 @@
 }
 
 // charge advances the virtual clocks to the virtual start of a request, and the virtual times of its flow and
-// class to the expected end.
-func (q *Queue) charge(l *classQueue, f *flow, c class.Class, cost time.Duration) {
+// level to the expected end.
+func (q *Queue) charge(l *levelQueue, f *flow, of urgency.Level, cost time.Duration) {
 	l.clock = max(l.clock, f.virtualTime)
 	q.clock = max(q.clock, l.virtualTime)
 	f.virtualTime += cost.Seconds()
-	l.virtualTime += cost.Seconds() / weights[c]
+	l.virtualTime += cost.Seconds() / q.weights[of]
 }
 
 // remove removes item i of a flow.
-func (q *Queue) remove(l *classQueue, f *flow, i int) {
+func (q *Queue) remove(l *levelQueue, f *flow, i int) {
 	f.items = append(f.items[:i], f.items[i+1:]...)
 	l.length--
 	q.length--
@@ -226,7 +297,7 @@
 }
 
 // flow returns the flow of an organisation and creates it if necessary.
-func (l *classQueue) flow(organisation string) *flow {
+func (l *levelQueue) flow(organisation string) *flow {
 	f, ok := l.flows[organisation]
 	if !ok {
 		f = &flow{organisation: organisation, virtualTime: l.clock}
@@ -237,7 +308,7 @@
 
 // dropIdle drops the idle flows whose virtual time the clock has passed, and all other idle ones too if more
 // than maxIdleFlows are left.
-func (l *classQueue) dropIdle() {
+func (l *levelQueue) dropIdle() {
 	for name, f := range l.flows {
 		if len(f.items) == 0 && f.virtualTime <= l.clock {
 			delete(l.flows, name)
--- /dev/null
+++ b/choice/fairqueue/precedence_test.go
@@ -0,0 +1,99 @@
+package fairqueue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"berylpass/attempt/id"
+	"berylpass/choice/fairqueue"
+	"berylpass/choice/urgency"
+)
+
+// TestUrgentLevelsGoFirst keeps all levels queued: each must go before the less urgent ones, and the least urgent must
+// still get a part.
+func TestUrgentLevelsGoFirst(t *testing.T) {
+	const turns = 10_000
+	for first := urgency.First; first < urgency.Fourth; first++ {
+		q := fairqueue.New(fairqueue.WithPrecedence())
+		for l := first; l <= urgency.Fourth; l++ {
+			q.Push(fairqueue.Item{ID: id.New("vm", 1, uint64(l)), Rank: rank(l, "a"), Cost: time.Second})
+		}
+		var served [urgency.Count]int
+		for range turns {
+			item, _ := q.Pop(start, urgency.Fourth)
+			served[item.Rank.Level]++
+			q.Push(item)
+		}
+		for l := first; l < urgency.Fourth; l++ {
+			if served[l] < 2*served[l+1] || served[l+1] < turns/200 {
+				t.Errorf("while %v to fourth were queued, they got %v of %d turns", first, served, turns)
+			}
+		}
+	}
+}
+
+// TestCallsGoFirst checks that calls go before newcomers of any level, those of urgent requests before others, and
+// that nothing else runs while the slots that are left are kept for calls.
+func TestCallsGoFirst(t *testing.T) {
+	q := fairqueue.New(fairqueue.WithPrecedence())
+	push := func(n uint64, r urgency.Rank) {
+		q.Push(fairqueue.Item{ID: id.New("vm", 1, n), Rank: r, Cost: time.Second})
+	}
+	push(1, urgency.Of(0, "a"))
+	push(2, urgency.Of(2, "a").OfCall())
+	push(3, urgency.Of(0, "b").OfCall())
+	var got []uint64
+	for {
+		item, ok := q.Pop(start, urgency.Call)
+		if !ok {
+			break
+		}
+		got = append(got, item.ID.Request)
+	}
+	if fmt.Sprint(got) != "[3 2]" || q.Len() != 1 {
+		t.Errorf("calls ran in the order %v, with %d other requests left, want [3 2] and 1", got, q.Len())
+	}
+}
+
+// TestRequestsInTimeGoFirst checks that a request whose answer would be late anyway lets those of its level pass that
+// can still be answered within their target, but not for ever.
+func TestRequestsInTimeGoFirst(t *testing.T) {
+	q := fairqueue.New(fairqueue.WithPrecedence())
+	push := func(n uint64, target time.Duration) {
+		q.Push(fairqueue.Item{ID: id.New("vm", 1, n), Rank: rank(urgency.First, "a"), Cost: time.Second, Target: start.Add(target)})
+	}
+	push(0, 0)
+	for n := range uint64(20) {
+		push(n+1, time.Hour)
+	}
+	late := 0
+	for n := range 20 {
+		if item, _ := q.Pop(start, urgency.Fourth); item.ID.Request == 0 {
+			late = n + 1
+			break
+		}
+	}
+	if late < 2 || late > 8 {
+		t.Errorf("the late request ran as number %d, want it after others and within 8", late)
+	}
+}
+
+// TestLeastUrgentIsDisplaced checks which request makes room in a full queue.
+func TestLeastUrgentIsDisplaced(t *testing.T) {
+	q := fairqueue.New(fairqueue.WithPrecedence())
+	for n := range uint64(3) {
+		q.Push(fairqueue.Item{ID: id.New("second", 1, n), Rank: rank(urgency.Second, fmt.Sprint(n))})
+		q.Push(fairqueue.Item{ID: id.New("third", 1, n), Rank: rank(urgency.Third, fmt.Sprint(n))})
+	}
+	for _, want := range []string{"third", "second", ""} {
+		got, ok := q.Victim(rank(urgency.First, "9"))
+		if string(got.Ingress) != want || ok != (want != "") {
+			t.Errorf("displaced for an urgent request: %v, want one of level %q", got, want)
+		}
+		q.Remove(got)
+	}
+	if got, ok := q.Victim(rank(urgency.Third, "9")); ok {
+		t.Errorf("displaced for a request of the third level: %v, want none", got)
+	}
+}
--- a/choice/gate/backend.go
+++ b/choice/gate/backend.go
@@ -8,6 +8,7 @@
 	"berylpass/choice/evidence"
 	"berylpass/choice/fairqueue"
 	"berylpass/choice/limiter"
+	"berylpass/choice/urgency"
 	"berylpass/choice/verdict"
 	"berylpass/choice/window"
 	"berylpass/config/class"
@@ -46,9 +47,12 @@
 	reportedSlots int
 	// maxQueued is the maximum length of the queue.
 	maxQueued int
-	limiter   *limiter.Limiter
-	queue     *fairqueue.Queue
-	evidence  *evidence.Evidence
+	// precedence is that of the gate; used is the use of slots by level.
+	precedence bool
+	used       [urgency.Count]usage
+	limiter    *limiter.Limiter
+	queue      *fairqueue.Queue
+	evidence   *evidence.Evidence
 	// mean holds the service times in seconds, by class.
 	mean [class.Count]window.Window
 	// running is ordered by start time.
@@ -71,8 +75,11 @@
 	breaker *breaker.Breaker
 }
 
-func newLimitedBackend(now time.Time, b backend.Backend, s service.Service, maxQueued int) *limitedBackend {
-	l := &limitedBackend{backend: b, queue: fairqueue.New(), maxQueued: maxQueued}
+func newLimitedBackend(now time.Time, b backend.Backend, s service.Service, maxQueued int, precedence bool) *limitedBackend {
+	l := &limitedBackend{backend: b, queue: fairqueue.New(), maxQueued: maxQueued, precedence: precedence}
+	if precedence {
+		l.queue = fairqueue.New(fairqueue.WithPrecedence())
+	}
 	l.reset(now, s)
 	return l
 }
@@ -145,18 +152,19 @@
 		return []decision.Action{Shed{ID: e.ID, Reason: Failing}}
 	}
 	item := fairqueue.Item{
-		ID:           e.ID,
-		Organisation: e.Organisation,
-		Class:        min(e.Class, class.Background),
-		Arrived:      now,
-		Expires:      e.Expires,
+		ID:      e.ID,
+		Rank:    e.Rank.Ranked(e.Class, e.Organisation),
+		Class:   min(e.Class, class.Background),
+		Arrived: now,
+		Target:  e.Target,
+		Expires: e.Expires,
 	}
 	item.Cost = b.expectedTime(now, item.Class)
-	if b.queue.Len() == 0 && b.mayStart(now) {
+	if b.startsAtOnce(now, item.Rank.Level) {
 		if tooLate(now, item) {
 			return []decision.Action{b.shed(now, item, Late)}
 		}
-		b.queue.Charge(item.Class, item.Organisation, item.Cost)
+		b.queue.Charge(item.Rank, item.Cost)
 		return []decision.Action{b.start(now, item)}
 	}
 	if e.Prompt {
@@ -165,6 +173,12 @@
 	return b.enqueue(now, item)
 }
 
+// startsAtOnce reports whether a request of the level may start before all that wait.
+func (b *limitedBackend) startsAtOnce(now time.Time, l urgency.Level) bool {
+	least := b.least(now)
+	return l <= least && (b.queue.Len() == 0 || least == urgency.Call && b.queue.Queued(urgency.Call) == 0)
+}
+
 // enqueue queues a request, or sheds it or the queued request that it displaces.
 func (b *limitedBackend) enqueue(now time.Time, item fairqueue.Item) []decision.Action {
 	if b.stalled(now) > 0 && !b.mayStart(now) {
@@ -173,13 +187,13 @@
 	if b.queue.Len() == 0 {
 		b.queuedSince = now
 	}
-	wait := b.estimatedWait(now, b.queue.EstimateAhead(item.Class, item.Organisation))
+	wait := b.estimatedWait(now, b.queue.EstimateAhead(item.Rank))
 	if now.Add(wait + item.Cost).After(item.Expires) {
 		return []decision.Action{b.shed(now, item, Late)}
 	}
 	var actions []decision.Action
 	if b.queue.Len() >= b.queueLimit(now) {
-		victim, ok := b.queue.Victim(item.Class, item.Organisation)
+		victim, ok := b.queue.Victim(item.Rank)
 		if !ok {
 			return []decision.Action{b.shed(now, item, QueueFull)}
 		}
@@ -193,8 +207,12 @@
 // startQueued starts queued requests while slots are free, and sheds those that can no longer finish in time.
 func (b *limitedBackend) startQueued(now time.Time) []decision.Action {
 	var actions []decision.Action
-	for b.serving() && b.mayStart(now) {
-		item, ok := b.queue.Pop()
+	for b.serving() {
+		least := b.least(now)
+		if least == urgency.Unranked {
+			return actions
+		}
+		item, ok := b.queue.Pop(now, least)
 		if !ok {
 			return actions
 		}
@@ -257,7 +275,8 @@
 		b.running = append(b.running[:i], b.running[i+1:]...)
 		took := now.Sub(r.started)
 		c := r.item.Class
-		b.queue.Settle(c, r.item.Organisation, min(took, maxCharge)-r.item.Cost)
+		b.queue.Settle(r.item.Rank, min(took, maxCharge)-r.item.Cost)
+		b.used[r.item.Rank.Level].add(now, took)
 		b.recordProgress(now, e.Verdict, c, took)
 		if e.Verdict == verdict.OK || e.Verdict == verdict.Timeout {
 			b.mean[c].Add(now, took.Seconds())
--- a/choice/gate/gate.go
+++ b/choice/gate/gate.go
@@ -30,7 +30,9 @@
 // Gate decides when requests run, wait or are shed. It does no I/O and is not safe for concurrent use.
 type Gate struct {
 	maxQueued int
-	backends  map[backend.ID]*limitedBackend
+	// precedence is set by WithPrecedence.
+	precedence bool
+	backends   map[backend.ID]*limitedBackend
 	// order lists the backend servers by ID, so that iteration is deterministic.
 	order    []*limitedBackend
 	services map[string]service.Service
@@ -46,6 +48,10 @@
 // WithMaxQueued returns an Option that sets the maximum number of requests queued for one backend server.
 func WithMaxQueued(n int) Option { return func(g *Gate) { g.maxQueued = n } }
 
+// WithPrecedence returns an Option that lets urgent requests go before less urgent ones, and keeps slots free for calls
+// of running requests.
+func WithPrecedence() Option { return func(g *Gate) { g.precedence = true } }
+
 // New returns a Gate without backend servers.
 func New(options ...Option) *Gate {
 	g := &Gate{
@@ -105,7 +111,7 @@
 	s := g.service(e.Backend.Service)
 	b := g.backends[e.Backend.ID]
 	if b == nil {
-		b = newLimitedBackend(now, e.Backend, s, g.maxQueued)
+		b = newLimitedBackend(now, e.Backend, s, g.maxQueued, g.precedence)
 		g.backends[e.Backend.ID] = b
 		at, _ := slices.BinarySearchFunc(g.order, e.Backend.ID, func(o *limitedBackend, n backend.ID) int {
 			return strings.Compare(string(o.backend.ID), string(n))
--- a/choice/gate/message.go
+++ b/choice/gate/message.go
@@ -5,6 +5,7 @@
 
 	"berylpass/attempt/id"
 	"berylpass/choice/report"
+	"berylpass/choice/urgency"
 	"berylpass/choice/verdict"
 	"berylpass/config/class"
 	"berylpass/config/service"
@@ -37,6 +38,10 @@
 	Backend      backend.ID
 	Organisation string
 	Class        class.Class
+	// Rank decides the place of the request among others. Without a level it follows from Class and Organisation.
+	Rank urgency.Rank
+	// Target is until when the answer should arrive; zero for no such time.
+	Target time.Time
 	// Expires is the deadline of the attempt.
 	Expires time.Time
 	// Repeatable reports whether the request may run more than once.
@@ -112,7 +117,7 @@
 	Late
 	// QueueFull means that the queue is full and no other request could be displaced.
 	QueueFull
-	// Displaced means that the request was displaced by one of a higher class or of an organisation with fewer
+	// Displaced means that the request was displaced by a more urgent one or by one of an organisation with fewer
 	// queued requests.
 	Displaced
 	// Stalled means that the backend server completes no requests.
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -107,6 +107,7 @@
 		Departures:     d.newDepartures(store),
 		Clock:          d.clock,
 		MaxQueued:      d.settings.Limits.QueuePerBackend,
+		Precedence:     d.onPlatform(),
 		SilenceLimit:   d.silenceLimit(),
 		MayRepeatCall:  d.mayRepeatCall,
 		LastFailedCall: d.lastFailedCall,
@@ -164,6 +165,8 @@
 		Service:           d.settings.Daemon.Service,
 		RetryBudget:       d.retries,
 		RepeatProbability: d.guard.RepeatProbability,
+		Ranked:            d.onPlatform(),
+		RankOfCall:        d.guard.RankOfCall,
 	})
 	d.startedIngress.Store(d.ingress)
 	d.onClose(d.forwarder.Close)
--- a/guard/attempt.go
+++ b/guard/attempt.go
@@ -75,6 +75,8 @@
 		Backend:      e.Backend,
 		Organisation: e.Organisation,
 		Class:        e.Class,
+		Rank:         e.Rank,
+		Target:       g.target(e),
 		Expires:      expires,
 		Repeatable:   e.Repeatable,
 		Forced:       e.Forced,
@@ -83,6 +85,14 @@
 	return a
 }
 
+// target returns until when the answer to the attempt should arrive, the zero time for no such time.
+func (g *Guard) target(e hop.Envelope) time.Time {
+	if e.Target == 0 {
+		return time.Time{}
+	}
+	return g.started.Add(milliseconds(e.Target))
+}
+
 // endingOf returns the ending that a refusal by the ledger proves. The forwarder sends
 // each attempt once, so a refused attempt has not run unless it duplicates one that was
 // accepted; whether that one ran is unknown.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -126,6 +126,9 @@
 	LastFailedCall func() time.Time
 	// MaxQueued bounds the requests that wait for one backend server; gate.DefaultMaxQueued if zero.
 	MaxQueued int
+	// Precedence makes urgent requests go before less urgent ones, and keeps slots free for calls of running
+	// requests.
+	Precedence bool
 	// SilenceLimit is the time without an announcement, a heartbeat or a load report after
 	// which a backend server counts as gone; announcement.SilenceLimit if zero.
 	SilenceLimit time.Duration
@@ -180,7 +183,7 @@
 		started:   started,
 		done:      make(chan struct{}),
 		ledger:    ledger.New(started, self.Incarnation, ledger.DefaultCapacity),
-		gate:      gate.New(gate.WithMaxQueued(parts.MaxQueued)),
+		gate:      gate.New(gateOptions(parts)...),
 		backends:  map[backend.ID]registered{},
 		instances: instance.New(),
 		attempts:  map[id.ID]*attempt{},
@@ -202,6 +205,15 @@
 	return g
 }
 
+// gateOptions returns the options of the gate.
+func gateOptions(parts Parts) []gate.Option {
+	options := []gate.Option{gate.WithMaxQueued(parts.MaxQueued)}
+	if parts.Precedence {
+		options = append(options, gate.WithPrecedence())
+	}
+	return options
+}
+
 // GuardClock returns the guard's clock in milliseconds since its start.
 func (g *Guard) GuardClock() int64 { return g.Clock().Sub(g.started).Milliseconds() }
 
--- /dev/null
+++ b/guard/rank.go
@@ -0,0 +1,43 @@
+package guard
+
+import (
+	"time"
+
+	"berylpass/choice/urgency"
+)
+
+// RankOfCall returns the rank of a request that came without a key to the daemon on this VM, if the backend server on
+// this VM is likely to have made it while it ran another request. The call inherits the rank of the running request
+// whose deadline is the closest to its own, since a call expires at the deadline of the request that makes it; if
+// none is close, it keeps the organisation and the level of ofRoute, its route's rank. RankOfCall returns false if
+// nothing runs here.
+func (g *Guard) RankOfCall(deadline time.Time, ofRoute urgency.Rank) (urgency.Rank, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var closest *attempt
+	running := false
+	for _, a := range g.attempts {
+		if !a.running {
+			continue
+		}
+		running = true
+		if a.deadline.Sub(deadline).Abs() <= deadlineTolerance && (closest == nil || a.closer(closest, deadline)) {
+			closest = a
+		}
+	}
+	if closest != nil {
+		e := closest.envelope
+		return e.Rank.Ranked(e.Class, e.Organisation).OfCall(), true
+	}
+	return ofRoute.OfCall(), running
+}
+
+// closer reports whether the deadline of a is closer to the given one than that of b, or as close and a is the more
+// urgent.
+func (a *attempt) closer(b *attempt, deadline time.Time) bool {
+	da, db := a.deadline.Sub(deadline).Abs(), b.deadline.Sub(deadline).Abs()
+	if da != db {
+		return da < db
+	}
+	return a.envelope.Rank.Inherited < b.envelope.Rank.Inherited
+}
--- a/hop/envelope.go
+++ b/hop/envelope.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"berylpass/attempt/id"
+	"berylpass/choice/urgency"
 	"berylpass/config/class"
 	"berylpass/fleet/backend"
 	"berylpass/header"
@@ -56,6 +57,12 @@
 	KeyID        string
 	Route        string
 	Class        class.Class
+	// Rank decides the place of the request among others; without a level it follows from Class and
+	// Organisation.
+	Rank urgency.Rank
+	// Target is until when the answer should reach the caller on the guard's clock, in milliseconds
+	// since its start; 0 for no such time.
+	Target int64
 	// CallerService is the service of the backend server on the ingress's VM; empty if unknown.
 	CallerService string
 	// Repeatable reports whether the request may run more than once. Forced reports that the
@@ -89,6 +96,14 @@
 	setFlag(h, "Repeated", e.Repeated)
 	h.Set(Prefix+"Class", e.Class.String())
 	h.Set(Prefix+"Revision", strconv.FormatUint(e.Revision, 10))
+	if e.Rank.Level != urgency.Unranked {
+		h.Set(Prefix+"Level", strconv.Itoa(int(e.Rank.Level)))
+		h.Set(Prefix+"Inherited", strconv.Itoa(int(e.Rank.Inherited)))
+		setText(h, "Owner", e.Rank.Owner)
+	}
+	if e.Target != 0 {
+		h.Set(Prefix+"Target", strconv.FormatInt(e.Target, 10))
+	}
 }
 
 // ReadEnvelope reads the envelope that Write wrote to h. Its error wraps ErrMalformed.
@@ -116,9 +131,26 @@
 	c, err := class.Parse(h.Get(Prefix + "Class"))
 	r.setError("Class", err)
 	e.Class = c
+	e.Rank = r.rank()
+	if h.Get(Prefix+"Target") != "" {
+		e.Target = r.signed("Target")
+	}
 	return e, r.err
 }
 
+// rank reads the rank, which older ingresses leave out.
+func (r *reader) rank() urgency.Rank {
+	if r.header.Get(Prefix+"Level") == "" {
+		return urgency.Rank{}
+	}
+	level, inherited := r.unsigned("Level"), r.unsigned("Inherited")
+	if level == 0 || level >= uint64(urgency.Count) || inherited >= uint64(urgency.Count) {
+		r.setError("Level", strconv.ErrRange)
+		return urgency.Rank{}
+	}
+	return urgency.Rank{Level: urgency.Level(level), Inherited: urgency.Level(inherited), Owner: r.text("Owner")}
+}
+
 // setText sets a header to the query-escaped value. It leaves out empty values, because nbhttp
 // reads an empty header value as a space.
 func setText(h http.Header, name, value string) {
--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"berylpass/attempt/id"
+	"berylpass/choice/urgency"
 	"berylpass/config/class"
 	"berylpass/hop"
 )
@@ -39,6 +40,7 @@
 		Attempt: id.New("vm-1", 7, 9), RequestID: "9c41", Backend: "rounds 1/ä", Incarnation: 1, Expires: 20, TokenExpires: 3,
 		Organisation: "kowalski-orchards", KeyID: "k1", Route: "visits", Class: class.Reservation, CallerService: "fieldwork",
 		Repeatable: true, Forced: true, Prompt: true, Repeated: true, Revision: 4,
+		Rank: urgency.Of(2, "kowalski-orchards").OfCall(), Target: 12,
 	}
 	for _, field := range reflect.VisibleFields(reflect.TypeOf(sent)) {
 		if field.Name != "Class" && reflect.ValueOf(sent).FieldByIndex(field.Index).IsZero() {
@@ -63,6 +65,7 @@
 	}.Write(h)
 	f.Add(formatHeader(h))
 	f.Add("Attempt:vm-1/1/1/0\nClass:background\nExpires:-1")
+	f.Add("Attempt:vm-1/1/1/0\nClass:background\nLevel:9\nInherited:1\nTarget:-2")
 	f.Fuzz(func(t *testing.T, text string) {
 		first, err := hop.ReadEnvelope(parseHeader(text))
 		if err != nil {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -57,6 +57,7 @@
 			KeyID:         x.caller.keyID,
 			Route:         x.route.Name,
 			Class:         x.class,
+			Rank:          x.rank,
 			CallerService: x.ingress.Service,
 			Repeatable:    x.route.Repeatable,
 			Forced:        x.target.Forced,
@@ -127,6 +128,10 @@
 		return forwarder.ErrNotSent
 	}
 	s.envelope.Incarnation, s.envelope.Expires = incarnation, expires.Milliseconds()
+	if target := s.exchange.answerBy(); !target.IsZero() {
+		_, on, _ := guardClock.Deadline(now, target.Sub(now))
+		s.envelope.Target = max(1, on.Milliseconds())
+	}
 	if s.token != nil {
 		_, tokenExpires, _ := guardClock.Deadline(now, s.token.Expires.Sub(now))
 		s.envelope.TokenExpires = max(0, tokenExpires.Milliseconds())
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -10,6 +10,7 @@
 	"berylpass/attempt/lifecycle"
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
+	"berylpass/choice/urgency"
 	"berylpass/config/class"
 	"berylpass/config/route"
 	"berylpass/config/snapshot"
@@ -47,6 +48,7 @@
 	// requests between.
 	service  string
 	class    class.Class
+	rank     urgency.Rank
 	info     RequestInfo
 	deadline time.Time
 	caller   caller
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -22,9 +22,11 @@
 	"berylpass/attempt/lifecycle"
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
+	"berylpass/choice/urgency"
 	"berylpass/choice/verdict"
 	"berylpass/config/class"
 	"berylpass/config/key"
+	"berylpass/config/organisation"
 	"berylpass/config/revision"
 	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
@@ -155,6 +157,11 @@
 	// a run on this VM's backend server that is itself a repetition, judged by the
 	// deadline and the service of the request. A nil RepeatProbability counts as 0.
 	RepeatProbability func(deadline time.Time, service string) float64
+	// Ranked reports whether the priorities of routes and organisations rank requests.
+	Ranked bool
+	// RankOfCall returns the rank of a request without a key, and true if a run on this VM's backend server makes
+	// it; see guard.Guard.RankOfCall. A nil RankOfCall counts as false.
+	RankOfCall func(deadline time.Time, ofRoute urgency.Rank) (urgency.Rank, bool)
 	// Random returns a random number in [0, 1); rand.Float64 if nil.
 	Random func() float64
 }
@@ -287,18 +294,20 @@
 	return fmt.Errorf("%w: %w", errOutdated, err)
 }
 
-// identify finds the organisation whose key came with the request, and sets the class of
-// the request. Open routes need no key.
+// identify finds the organisation whose key came with the request, and sets the class and the
+// rank of the request. Open routes need no key.
 func (x *exchange) identify() error {
 	x.class = x.route.Class
 	if !x.info.HasKey {
 		if x.route.Open {
+			x.setRank(organisation.Organisation{})
 			return nil
 		}
 		return errNoKey
 	}
 	o, k, ok := x.snapshot.KeyByDigest(key.DigestOf(x.info.Key))
 	if !ok && x.route.Open && x.ingress.OpenToAnyKey {
+		x.setRank(organisation.Organisation{})
 		return nil
 	}
 	if !ok {
@@ -308,6 +317,7 @@
 	if !x.route.Open {
 		x.class = o.ClassOf(x.route.Class)
 	}
+	x.setRank(o)
 	return nil
 }
 
