--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -10,6 +10,7 @@
 	"berylpass/attempt/lifecycle"
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
+	"berylpass/choice/urgency"
 	"berylpass/config/class"
 	"berylpass/config/home"
 	"berylpass/config/route"
@@ -48,6 +49,7 @@
 	// requests between.
 	service  string
 	class    class.Class
+	rank     urgency.Rank
 	info     RequestInfo
 	deadline time.Time
 	caller   caller
