limit/pool, guard: a request that has waited renews its token

Change: a token names its holder and its ID there; a guard renews an expired one at that holder. The holder moves the issue to the present time, if its bucket would have had a token for every issue in that order.

--- a/guard/cause_test.go
+++ b/guard/cause_test.go
@@ -51,8 +51,11 @@
 type unlimited struct{}
 
 func (unlimited) Draw(context.Context, string) (enforcer.Token, error) { return enforcer.Token{}, nil }
-func (unlimited) Started(enforcer.Token)                               {}
-func (unlimited) Return(enforcer.Token)                                {}
+func (unlimited) Renew(context.Context, enforcer.Token) (enforcer.Token, error) {
+	return enforcer.Token{}, enforcer.ErrNotRenewed
+}
+func (unlimited) Started(enforcer.Token) {}
+func (unlimited) Return(enforcer.Token)  {}
 
 // TestCauseMatchesCallsToRunsByDeadline guards against counting calls as repeated at the
 // wrong rate: a backend server runs one first and one repeated attempt, and only the
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -59,6 +59,8 @@
 // that came with a request has expired. A token allows one run until it expires.
 type Limit interface {
 	Draw(ctx context.Context, organisation string) (enforcer.Token, error)
+	// Renew replaces an expired token that has not been used; its error wraps enforcer.ErrNotRenewed.
+	Renew(ctx context.Context, t enforcer.Token) (enforcer.Token, error)
 	// Started reports a token as used: the request may have run.
 	Started(t enforcer.Token)
 	// Return gives back a token whose request certainly did not run.
--- a/guard/token.go
+++ b/guard/token.go
@@ -13,13 +13,13 @@
 // requests without an organisation, which only open routes allow.
 type token struct {
 	expires time.Time
-	// drawn is the token that this guard has drawn; nil if the token came with the request.
+	// drawn is the token that this guard has drawn or renewed; nil if the token came with the request.
 	drawn *enforcer.Token
 	limit Limit
 }
 
-// token returns the token that came with the request, or draws a new one if that has
-// expired.
+// token returns the token that came with the request, renews it if it has expired, or draws a new one if it can't be
+// renewed.
 func (g *Guard) token(ctx context.Context, e hop.Envelope) (token, error) {
 	if e.Organisation == "" {
 		return token{}, nil
@@ -27,6 +27,10 @@
 	if expires := g.started.Add(milliseconds(e.TokenExpires)); g.Clock().Before(expires) {
 		return token{expires: expires}, nil
 	}
+	late := enforcer.Token{Organisation: e.Organisation, Holder: e.TokenHolder, ID: e.TokenID}
+	if renewed, err := g.Limit.Renew(ctx, late); err == nil {
+		return token{expires: renewed.Expires, drawn: &renewed, limit: g.Limit}, nil
+	}
 	drawn, err := g.Limit.Draw(ctx, e.Organisation)
 	if err != nil {
 		return token{}, err
--- a/hop/envelope.go
+++ b/hop/envelope.go
@@ -26,6 +26,7 @@
 	"berylpass/attempt/id"
 	"berylpass/config/class"
 	"berylpass/fleet/backend"
+	"berylpass/fleet/member"
 	"berylpass/header"
 )
 
@@ -50,6 +51,10 @@
 	// TokenExpires is when the rate limit's token expires on the guard's clock, in milliseconds
 	// since its start.
 	TokenExpires int64
+	// TokenHolder is the daemon that issued the token and TokenID its ID, so that the
+	// guard can renew the token; empty and 0 if it can't be renewed.
+	TokenHolder member.ID
+	TokenID     uint64
 	// Organisation and KeyID identify the caller; empty for a request on an open route without a
 	// known key.
 	Organisation string
@@ -79,6 +84,10 @@
 	h.Set(Prefix+"Incarnation", strconv.FormatUint(e.Incarnation, 10))
 	h.Set(Prefix+"Expires", strconv.FormatInt(e.Expires, 10))
 	h.Set(Prefix+"Token-Lapses", strconv.FormatInt(e.TokenExpires, 10))
+	if e.TokenID != 0 {
+		h.Set(Prefix+"Token-Holder", url.QueryEscape(string(e.TokenHolder)))
+		h.Set(Prefix+"Token-Id", strconv.FormatUint(e.TokenID, 36))
+	}
 	setText(h, "Organisation", e.Organisation)
 	setText(h, "Key", e.KeyID)
 	h.Set(Prefix+"Route", url.QueryEscape(e.Route))
@@ -100,6 +109,8 @@
 		Incarnation:   r.unsigned("Incarnation"),
 		Expires:       r.signed("Expires"),
 		TokenExpires:  r.signed("Token-Lapses"),
+		TokenHolder:   member.ID(r.text("Token-Holder")),
+		TokenID:       r.token("Token-Id"),
 		Organisation:  r.text("Organisation"),
 		KeyID:         r.text("Key"),
 		Route:         r.text("Route"),
@@ -159,6 +170,17 @@
 	return v
 }
 
+// token reads the ID of a token, 0 if there is none.
+func (r *reader) token(name string) uint64 {
+	text := r.header.Get(Prefix + name)
+	if text == "" {
+		return 0
+	}
+	v, err := strconv.ParseUint(text, 36, 64)
+	r.setError(name, err)
+	return v
+}
+
 func (r *reader) signed(name string) int64 {
 	v, err := strconv.ParseInt(r.header.Get(Prefix+name), 10, 64)
 	r.setError(name, err)
--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -37,6 +37,7 @@
 func TestEnvelopeRoundTrip(t *testing.T) {
 	sent := hop.Envelope{
 		Attempt: id.New("vm-1", 7, 9), RequestID: "9c41", Backend: "rounds 1/ä", Incarnation: 1, Expires: 20, TokenExpires: 3,
+		TokenHolder: "vm-2", TokenID: 1 << 63,
 		Organisation: "kowalski-orchards", KeyID: "k1", Route: "visits", Class: class.Reservation, CallerService: "fieldwork",
 		Repeatable: true, Forced: true, Prompt: true, Repeated: true, Revision: 4,
 	}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -130,6 +130,7 @@
 	if s.token != nil {
 		_, tokenExpires, _ := guardClock.Deadline(now, s.token.Expires.Sub(now))
 		s.envelope.TokenExpires = max(0, tokenExpires.Milliseconds())
+		s.envelope.TokenHolder, s.envelope.TokenID = s.token.Holder, s.token.ID
 	}
 	return nil
 }
--- a/limit/enforcer/enforcer.go
+++ b/limit/enforcer/enforcer.go
@@ -76,6 +76,8 @@
 	// ErrOutdated means that a holder which has no token has another limit than this daemon, from
 	// an older configuration.
 	ErrOutdated = errors.New("a holder of the organisation's limit has an older configuration")
+	// ErrNotRenewed means that the daemon that issued a token can't be reached, or no longer holds the share.
+	ErrNotRenewed = errors.New("token can't be renewed")
 	// ErrClosed means that the enforcer has been closed.
 	ErrClosed = errors.New("enforcer is closed")
 )
@@ -110,6 +112,10 @@
 	Organisation string
 	// Expires is when the token expires, on the clock of the daemon that drew it.
 	Expires time.Time
+	// Holder is the daemon that issued the token and ID its ID there, for Renew; empty and 0 for a token that can't be
+	// renewed.
+	Holder member.ID
+	ID     uint64
 }
 
 // Mesh makes RPC calls to other daemons.
@@ -272,9 +278,9 @@
 		e.mu.Unlock()
 		return Token{}, ErrClosed
 	}
-	if e.pool.Take(now, organisation) {
+	if id, ok := e.pool.TakeFrom(now, organisation); ok {
 		e.mu.Unlock()
-		return token, nil
+		return token.from(e.options.Self, id), nil
 	}
 	holders, reachable := e.pool.HoldersToAsk(now, organisation)
 	refusal := &Refusal{Organisation: organisation, RetryAfter: e.pool.RetryAfter(organisation)}
@@ -284,7 +290,7 @@
 	for _, holder := range holders[:min(len(holders), maxLendCalls)] {
 		lent, err := e.borrow(ctx, holder, organisation)
 		if err == nil && lent.Tokens > 0 {
-			return token, nil
+			return token.from(holder, lent.ID), nil
 		}
 		// An outdated holder is not counted, so that another one is asked in its place.
 		outdated = outdated || lent.Outdated
@@ -304,21 +310,68 @@
 	default:
 		refusal.Reason = ErrOverLimit
 	}
-	if (holderReached || outdated) && e.waitForOwnToken(ctx, organisation) {
-		return Token{Organisation: organisation, Expires: e.options.Clock().Add(e.options.TokenLifetime)}, nil
+	if holderReached || outdated {
+		if id, ok := e.waitForOwnToken(ctx, organisation); ok {
+			token.Expires = e.options.Clock().Add(e.options.TokenLifetime)
+			return token.from(e.options.Self, id), nil
+		}
 	}
 	return Token{}, refusal
 }
 
+// from returns a copy of t that a holder issued under an ID; with an ID of 0 it can't be renewed.
+func (t Token) from(holder member.ID, id uint64) Token {
+	if id != 0 {
+		t.Holder, t.ID = holder, id
+	}
+	return t
+}
+
+// Renew replaces an expired token, with which nothing has run or will run, by a new one of the same holder. A request
+// that has waited longer than a token lives keeps its place so: drawing another token, in competition with new
+// requests, would waste the first one. Its error wraps ErrNotRenewed; then only Draw helps.
+func (e *Enforcer) Renew(ctx context.Context, t Token) (Token, error) {
+	if t.ID == 0 {
+		return Token{}, ErrNotRenewed
+	}
+	asked := e.options.Clock()
+	reply := Renewed{}
+	if t.Holder == e.options.Self {
+		reply = e.renewOwn(t.Organisation, t.ID)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if err := e.options.Mesh.Call(ctx, t.Holder, ServiceName+".Renew", Renewal{Organisation: t.Organisation, ID: t.ID}, &reply); err != nil {
+			return Token{}, fmt.Errorf("%w: %w", ErrNotRenewed, err)
+		}
+	}
+	if !reply.OK {
+		return Token{}, ErrNotRenewed
+	}
+	t.ID, t.Expires = reply.ID, asked.Add(e.options.TokenLifetime)
+	return t, nil
+}
+
+// renewOwn renews a token of this daemon's share.
+func (e *Enforcer) renewOwn(organisation string, id uint64) Renewed {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return Renewed{}
+	}
+	renewed, ok := e.pool.Renew(e.options.Clock(), organisation, id)
+	return Renewed{ID: renewed, OK: ok}
+}
+
 // waitForOwnToken takes the next token of this daemon's own share if it comes within MaxDrawWait,
 // which is sooner than a refused caller would retry. Only one draw per organisation waits at
-// a time. It reports whether it got the token.
-func (e *Enforcer) waitForOwnToken(ctx context.Context, organisation string) bool {
+// a time. It returns the token's ID and whether it got the token.
+func (e *Enforcer) waitForOwnToken(ctx context.Context, organisation string) (id uint64, ok bool) {
 	e.mu.Lock()
 	wait, ok := e.pool.TimeToNextToken(e.options.Clock(), organisation)
 	if !ok || wait > MaxDrawWait || e.waiting[organisation] {
 		e.mu.Unlock()
-		return false
+		return 0, false
 	}
 	e.waiting[organisation] = true
 	e.mu.Unlock()
@@ -332,7 +385,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.waiting, organisation)
-	return ctx.Err() == nil && !e.closed && e.pool.Take(e.options.Clock(), organisation)
+	if ctx.Err() != nil || e.closed {
+		return 0, false
+	}
+	return e.pool.TakeFrom(e.options.Clock(), organisation)
 }
 
 // borrow asks another holder for one token and records the level that the holder reports,
--- a/limit/enforcer/enforcer_test.go
+++ b/limit/enforcer/enforcer_test.go
@@ -38,10 +38,13 @@
 	if !ok {
 		return errUnreachable
 	}
-	if method != "Limit.Lend" {
-		return fmt.Errorf("no method %s", method)
+	switch method {
+	case "Limit.Lend":
+		return r.Lend(args.(Borrow), reply.(*Lent))
+	case "Limit.Renew":
+		return r.Renew(args.(Renewal), reply.(*Renewed))
 	}
-	return r.Lend(args.(Borrow), reply.(*Lent))
+	return fmt.Errorf("no method %s", method)
 }
 
 // startFleet starts n enforcers with the configuration s that know each other as members.
--- a/limit/enforcer/receiver.go
+++ b/limit/enforcer/receiver.go
@@ -28,6 +28,21 @@
 	// Outdated reports whether the called daemon has another limit than the daemon that asks, from
 	// an older configuration.
 	Outdated bool
+	// ID is the ID of the last token lent, for Renew.
+	ID uint64
+}
+
+// Renewal is the argument of Renew: it asks the holder that issued a token to replace it.
+type Renewal struct {
+	Organisation string
+	// ID is the ID of the token at the holder.
+	ID uint64
+}
+
+// Renewed is the reply of Renew. OK reports whether the token was replaced, ID is the ID of the new one.
+type Renewed struct {
+	ID uint64
+	OK bool
 }
 
 // maxBorrow bounds the tokens lent for one Borrow.
@@ -58,5 +73,13 @@
 	limit, _, _ := e.pool.Describe(now, args.Organisation)
 	reply.Outdated = e.revision < args.Revision && limit != args.Limit
 	reply.Tokens, reply.Level, reply.Holder = e.pool.Lend(now, args.Organisation, min(max(args.Tokens, 0), maxBorrow))
+	reply.ID = e.pool.LastIssued(args.Organisation)
+	return nil
+}
+
+// Renew replaces a token that this daemon has lent.
+func (r *Receiver) Renew(args Renewal, reply *Renewed) (err error) {
+	defer mesh.Recover(&err)
+	*reply = r.enforcer.renewOwn(args.Organisation, args.ID)
 	return nil
 }
--- a/limit/pool/pool.go
+++ b/limit/pool/pool.go
@@ -87,13 +87,6 @@
 	Burst float64
 }
 
-// ownShare is the token bucket of this daemon's share of a limit.
-type ownShare struct {
-	tokens float64
-	// at is the time of the last refill.
-	at time.Time
-}
-
 // reportedLevel is the number of tokens that another holder last reported.
 type reportedLevel struct {
 	level float64
@@ -156,8 +149,9 @@
 // same reports whether d and other are the same daemon in the same data centre.
 func (d daemon) same(other daemon) bool { return d.id == other.id && d.datacentre == other.datacentre }
 
-// New returns the pool of the daemon self, without members and limits. The seed
-// determines the order in which equally full holders are asked.
+// New returns the pool of the daemon self, without members and limits. The seed, which must
+// differ after each start, determines the IDs of shares and the order in which equally full
+// holders are asked.
 func New(self member.ID, seed uint64) *Pool {
 	random := rand.New(rand.NewPCG(seed, digest(string(self))))
 	return &Pool{
@@ -273,17 +267,46 @@
 // Take takes a token that was returned here, or one of this daemon's own share, and reports
 // whether there was one.
 func (p *Pool) Take(now time.Time, organisation string) bool {
+	_, ok := p.TakeFrom(now, organisation)
+	return ok
+}
+
+// TakeFrom is Take; it also returns the ID of the token for Renew, 0 for a token that was returned.
+func (p *Pool) TakeFrom(now time.Time, organisation string) (id uint64, ok bool) {
 	if r := p.organisations[organisation]; r != nil {
 		for len(r.returned) > 0 {
 			expires := r.returned[0]
 			r.returned = r.returned[1:]
 			if now.Before(expires) {
-				return true
+				return 0, true
 			}
 		}
 	}
 	granted, _, _ := p.Lend(now, organisation, 1)
-	return granted == 1
+	return p.LastIssued(organisation), granted == 1
+}
+
+// LastIssued returns the ID of the last token of this daemon's share, 0 if it holds none.
+func (p *Pool) LastIssued(organisation string) uint64 {
+	if r := p.organisations[organisation]; r != nil && r.own != nil {
+		return r.own.lastID
+	}
+	return 0
+}
+
+// Renew replaces a token of this daemon's share, which certainly has not been used and never will be, by one that is
+// issued now. It returns the ID of the new one, and false if the limit doesn't allow it. The limit does as long as the
+// bucket would not have been full since, had the first token not been issued.
+func (p *Pool) Renew(now time.Time, organisation string, id uint64) (renewed uint64, ok bool) {
+	r := p.organisations[organisation]
+	if r == nil || id == 0 {
+		return 0, false
+	}
+	own := p.refill(now, r, organisation)
+	if own == nil {
+		return 0, false
+	}
+	return own.renew(now, id)
 }
 
 // Lend takes up to n tokens from this daemon's own share. It returns the number of tokens
@@ -297,8 +320,7 @@
 	if own == nil {
 		return 0, 0, false
 	}
-	granted = min(n, int(own.tokens))
-	own.tokens -= float64(granted)
+	granted = own.issue(now, n)
 	return granted, own.tokens, true
 }
 
@@ -310,7 +332,7 @@
 		return
 	}
 	if own := p.refill(now, r, organisation); own != nil {
-		own.tokens = min(own.tokens+1, r.burst())
+		own.returned()
 		return
 	}
 	if len(r.returned) < maxReturned {
@@ -441,13 +463,9 @@
 		return nil
 	}
 	if r.own == nil {
-		r.own = &ownShare{at: now}
-	}
-	if passed := now.Sub(r.own.at); passed > 0 {
-		r.own.tokens += r.rate() * passed.Seconds()
-		r.own.at = now
+		r.own = newShare(now, p.random.Uint64()|1)
 	}
-	r.own.tokens = min(r.own.tokens, r.burst())
+	r.own.refill(now, r.rate(), r.burst())
 	return r.own
 }
 
--- a/limit/pool/pool_test.go
+++ b/limit/pool/pool_test.go
@@ -34,6 +34,49 @@
 	cut   map[int]bool
 	// runs are the times at which requests ran.
 	runs []time.Time
+	// waiting are the requests that hold a token and have not run.
+	waiting []waitingRequest
+}
+
+// waitingRequest is a request at a daemon that holds a token of a holder.
+type waitingRequest struct {
+	at, holder int
+	token      uint64
+}
+
+// hold draws a token at a daemon for a request that waits.
+func (f *fleet) hold(at int) {
+	if token, ok := f.pools[at].TakeFrom(f.now, organisation); ok {
+		f.waiting = append(f.waiting, waitingRequest{at, at, token})
+		return
+	}
+	holders, _ := f.pools[at].HoldersToAsk(f.now, organisation)
+	for _, holder := range holders {
+		var n int
+		_, _ = fmt.Sscanf(string(holder), "vm-%d", &n)
+		if f.cut[at] || f.cut[n] {
+			continue
+		}
+		if granted, _, _ := f.pools[n].Lend(f.now, organisation, 1); granted == 1 {
+			f.waiting = append(f.waiting, waitingRequest{at, n, f.pools[n].LastIssued(organisation)})
+			return
+		}
+	}
+}
+
+// renew runs the request that has waited longest, if its token can be renewed.
+func (f *fleet) renew() {
+	if len(f.waiting) == 0 {
+		return
+	}
+	r := f.waiting[0]
+	f.waiting = f.waiting[1:]
+	if r.at != r.holder && (f.cut[r.at] || f.cut[r.holder]) {
+		return
+	}
+	if _, ok := f.pools[r.holder].Renew(f.now, organisation, r.token); ok {
+		f.runs = append(f.runs, f.now)
+	}
 }
 
 func id(n int) member.ID { return member.ID(fmt.Sprintf("vm-%d", n)) }
@@ -107,15 +150,21 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := Limit{Rate: rapid.Float64Range(5, 80).Draw(t, "rate"), Burst: rapid.Float64Range(1, 80).Draw(t, "burst")}
 		f := newFleet(rapid.IntRange(1, 12).Draw(t, "daemons"), limit)
+		restarts := 0
 		for range rapid.IntRange(50, 400).Draw(t, "steps") {
 			at := rapid.IntRange(0, len(f.pools)-1).Draw(t, "at")
-			switch rapid.IntRange(0, 12).Draw(t, "step") {
+			switch rapid.IntRange(0, 16).Draw(t, "step") {
+			case 3, 4:
+				f.hold(at)
+			case 5, 6:
+				f.renew()
 			case 0:
 				f.cut[at] = !f.cut[at]
 				f.gossip()
 			case 1:
-				// A restarted daemon keeps only its ID.
-				f.pools[at] = New(id(at), uint64(at))
+				// A restarted daemon keeps only its ID; its seed, the incarnation, is another one.
+				restarts++
+				f.pools[at] = New(id(at), uint64(at+100*restarts))
 				f.pools[at].SetLimits(f.now, map[string]Limit{organisation: limit})
 				f.gossip()
 			case 2:
@@ -178,6 +227,47 @@
 	}
 }
 
+// TestRenewedTokenNeedsNoOther checks that a request which has waited longer than its token lives can run although the
+// bucket is empty, that no token is renewed twice, nor after the daemon has lost its share.
+func TestRenewedTokenNeedsNoOther(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := New("vm-0", 1)
+	p.SetMembers(now, []member.Member{member.New("vm-0", "srem")}, true, false)
+	p.SetLimits(now, map[string]Limit{organisation: {Rate: 1, Burst: 2}})
+	now = now.Add(10 * time.Second)
+	token, ok := p.TakeFrom(now, organisation)
+	if !ok || !p.Take(now, organisation) || p.Take(now, organisation) {
+		t.Fatal("want two tokens")
+	}
+	now = now.Add(500 * time.Millisecond)
+	renewed, ok := p.Renew(now, organisation, token)
+	if !ok {
+		t.Error("the token is not renewed although it was not used")
+	}
+	if _, ok := p.Renew(now, organisation, token); ok {
+		t.Error("the token is renewed twice")
+	}
+	if now = now.Add(499 * time.Millisecond); p.Take(now, organisation) {
+		t.Error("the renewal gave the bucket a token")
+	}
+	if _, ok := p.Renew(now, "other", renewed); ok {
+		t.Error("the token of another organisation is renewed")
+	}
+	later := now.Add(2 * time.Second)
+	for range 2 {
+		p.Take(later, organisation)
+	}
+	if _, ok := p.Renew(later, organisation, renewed); ok {
+		t.Error("the bucket would have been full without the token, so that the limit doesn't allow a third run now")
+	}
+	lost := New("vm-0", 2)
+	lost.SetMembers(now, []member.Member{member.New("vm-0", "srem")}, true, false)
+	lost.SetLimits(now, map[string]Limit{organisation: {Rate: 1, Burst: 2}})
+	if _, ok := lost.Renew(now, organisation, renewed); ok {
+		t.Error("a token of a share that was lost in between is renewed")
+	}
+}
+
 func TestLeavingDaemonIssuesNoTokens(t *testing.T) {
 	f := newFleet(3, Limit{Rate: 30, Burst: 30})
 	f.now = f.now.Add(5 * time.Second)
