attempt/allowance, ingress, picker: hedges within a limit on extra work

Cause: operators accept some extra work if it cuts the slowest answers, within a limit that they set. Hedges existed, but each ingress needed 40 answers of a route in 20 s to know the percentile, which no ingress of a large fleet sees, and nothing limited their work but the retry budget. Change: setting hedge-share, off by default, limits the slot time of hedges to a share of the service's work; the delay comes from the guards' reports where the ingress has seen too few answers itself; a hedge goes to a fast and free backend server of the region, only while the service has spare room, never for requests that make calls (the guard refuses it), large bodies or answers. With the default of 0 the hedges made so far, at the ingress's own percentile, end. Ruled out: tied requests, a limit by number of requests (docs/design/hedging.md).

--- a/attempt/lifecycle/lifecycle.go
+++ b/attempt/lifecycle/lifecycle.go
@@ -84,6 +84,8 @@
 	unusedTokens int
 	// preparing reports whether a DrawToken or a Pick for the next attempt is pending.
 	preparing bool
+	// hedging reports whether the attempt in preparation is made beside one that is in flight.
+	hedging bool
 	// deadlinePassed is set when the Deadline timer has fired.
 	deadlinePassed bool
 	// ended is set when the caller got its reply or left.
@@ -142,7 +144,7 @@
 
 // prepare starts another attempt. It uses an unused token if there is one and draws one otherwise.
 func (l *Lifecycle) prepare(purpose Purpose) {
-	l.preparing = true
+	l.preparing, l.hedging = true, purpose == HedgePurpose
 	if l.unusedTokens > 0 {
 		l.pick()
 		return
@@ -155,7 +157,7 @@
 	for _, a := range l.attempts {
 		exclude = append(exclude, a.backend)
 	}
-	l.emit(Pick{Exclude: exclude})
+	l.emit(Pick{Exclude: exclude, Hedge: l.hedging})
 }
 
 func (l *Lifecycle) tokenDrawn() {
--- a/attempt/lifecycle/messages.go
+++ b/attempt/lifecycle/messages.go
@@ -125,7 +125,11 @@
 type ReturnToken struct{ Count int }
 
 // Pick asks for a backend server that is none of those in Exclude, which were tried before.
-type Pick struct{ Exclude []backend.ID }
+type Pick struct {
+	Exclude []backend.ID
+	// Hedge reports whether the attempt is made beside one that is in flight.
+	Hedge bool
+}
 
 // Dispatch asks the adapter to send an attempt. Each attempt is dispatched at most once.
 type Dispatch struct {
--- a/choice/chooser/chooser.go
+++ b/choice/chooser/chooser.go
@@ -186,6 +186,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	chosen, err := c.picker.PickFor(now, r)
+	return c.target(r, chosen, err)
+}
+
+// PickHedge returns a backend server for a hedged request. Its error wraps picker.ErrNoBackend.
+func (c *Chooser) PickHedge(r picker.Request) (Target, error) {
+	now := c.options.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	chosen, err := c.picker.PickHedge(now, r)
+	return c.target(r, chosen, err)
+}
+
+// HedgeDelay returns the time after which a request of a service and class is hedged. It reports false if that is
+// unknown.
+func (c *Chooser) HedgeDelay(service string, of class.Class) (time.Duration, bool) {
+	now := c.options.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.picker.HedgeDelay(now, service, of)
+}
+
+// target returns the target of what the picker chose for r, or its error. The caller must hold c.mu.
+func (c *Chooser) target(r picker.Request, chosen backend.ID, err error) (Target, error) {
 	if err != nil {
 		return Target{}, err
 	}
--- a/choice/picker/pick.go
+++ b/choice/picker/pick.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"berylpass/choice/breaker"
+	"berylpass/config/class"
 	"berylpass/fleet/backend"
 )
 
@@ -68,6 +69,8 @@
 	MayBeTrial bool
 	// RunOnce reports whether the request may run only once.
 	RunOnce bool
+	// Class is the class of the request; only PickHedge uses it.
+	Class class.Class
 	// BodyBytes is the length of the request body.
 	BodyBytes int
 	// LargeAnswer reports whether the answer is likely to be large.
@@ -303,11 +306,15 @@
 
 // load returns the expected load of s with one more request, as a share of its limit.
 func (s *server) load(now time.Time) float64 {
-	limit := s.slots()
+	return (s.outstanding(now) + 1) / float64(s.limit(now))
+}
+
+// limit returns the number of requests that may run at s at once: as last reported, else its slots.
+func (s *server) limit(now time.Time) int {
 	if s.fresh(now) && s.report.Limit > 0 {
-		limit = s.report.Limit
+		return s.report.Limit
 	}
-	return (s.outstanding(now) + 1) / float64(limit)
+	return s.slots()
 }
 
 // outstanding returns the expected number of requests that are queued or running at s.
--- a/choice/scenario/model_test.go
+++ b/choice/scenario/model_test.go
@@ -171,6 +171,7 @@
 		return
 	}
 	delete(m.running, attempt)
+	m.w.hedges.ran(r, m.w.now)
 	if v == verdict.OK {
 		m.completed++
 	}
--- a/choice/scenario/world_test.go
+++ b/choice/scenario/world_test.go
@@ -77,6 +77,8 @@
 	// promptAttempts is the number of first attempts of a request that are refused instead of queued
 	// if no slot is free.
 	promptAttempts int
+	// hedgeShare is the limit of the extra work of hedges, as a share of the work; 0 for no hedges.
+	hedgeShare float64
 }
 
 // world simulates ingresses with their pickers, and backend servers with their gates.
@@ -92,6 +94,7 @@
 	calls          map[id.ID]*call
 	attempts       uint64
 	reportsFetched int
+	hedges         hedges
 	// cutPaths maps an ingress to the backend server whose answers to it are lost.
 	cutPaths map[int]backend.ID
 	// actions is called for each action of an ingress's picker.
@@ -115,6 +118,10 @@
 	// began is when its latest run began, and remote whether that was in another data centre than its ingress.
 	began  time.Time
 	remote bool
+	// twin is the hedge of the call, or the call that it hedges, while both may answer. hedgeAfter is the time
+	// that a hedge is expected to take; zero for a call that is no hedge.
+	twin       *call
+	hedgeAfter time.Duration
 }
 
 // hopDelay is the one-way delay between an ingress and a guard.
@@ -172,7 +179,7 @@
 		if w.datacentres > 1 {
 			same = n%w.datacentres == i%w.datacentres
 		}
-		p.Update(w.now, picker.BackendUpdated{Backend: b, Datacentre: "dc", SameDatacentre: same, InService: true})
+		p.Update(w.now, picker.BackendUpdated{Backend: b, Datacentre: "dc", SameDatacentre: same, SameRegion: true, InService: true})
 	}
 	w.every(50*time.Millisecond, w.jitter(50*time.Millisecond), func() { m.handle(m.gate.Update(w.now, gate.Tick{})) })
 }
@@ -261,6 +268,7 @@
 	attempt := r.id
 	p.Update(w.now, picker.AttemptStarted{Attempt: r.id, Backend: chosen, Class: r.class})
 	w.after(hopDelay, func() { w.servers[chosen].arrive(r) })
+	w.scheduleHedge(r)
 	w.after(r.expires.Sub(w.now), func() { w.timeout(r, attempt, chosen) })
 }
 
@@ -272,7 +280,7 @@
 	delete(w.calls, attempt)
 	w.observe(r, attempt, chosen, verdict.Timeout, false)
 	w.servers[chosen].cancel(attempt)
-	w.answered(r, verdict.Timeout)
+	w.conclude(r, verdict.Timeout)
 }
 
 // answer sends a backend server's answer to the ingress, which retries a shed call up to twice.
@@ -287,11 +295,11 @@
 		}
 		delete(w.calls, attempt)
 		w.observe(r, attempt, from, v, true)
-		if v == verdict.Shed && len(r.tried) < max(3, w.promptAttempts+1) {
+		if v == verdict.Shed && r.twin == nil && len(r.tried) < max(3, w.promptAttempts+1) {
 			w.attempt(r)
 			return
 		}
-		w.answered(r, v)
+		w.conclude(r, v)
 	})
 }
 
@@ -305,6 +313,7 @@
 		_ = rep.UnmarshalBinary(encoded)
 		o.Report = &rep
 	}
+	w.recordWork(r, o)
 	for _, a := range w.pickers[r.ingress].Update(w.now, o) {
 		w.actions(r.ingress, a)
 	}
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -89,6 +89,9 @@
 	// save up for a service.
 	RetryShare float64
 	RetrySlack int
+	// HedgeShare is the extra work that hedged requests may put on a service's backend servers,
+	// as a share from 0 to 1 of the service's work; 0 for no hedges.
+	HedgeShare float64
 	// LimitOvershoot is the share, and LimitSlack the number, by which the requests that
 	// the whole fleet runs for an organisation may exceed its limit.
 	LimitOvershoot float64
--- a/config/settings/table.go
+++ b/config/settings/table.go
@@ -91,6 +91,8 @@
 			WithDefault("0.1").WithMeaning("Retries and hedges allowed, as a share of a service's requests."),
 		field.Integer("retry-slack", 0, 1000000, func(s *Settings) *int { return &s.Limits.RetrySlack }).
 			WithDefault("100").WithMeaning("Retries and hedges that the whole fleet may save up for a service."),
+		field.Share("hedge-share", func(s *Settings) *float64 { return &s.Limits.HedgeShare }).
+			WithDefault("0").WithMeaning("Extra work that hedges may put on a service's backend servers, as a share of the service's work; 0 for no hedges. Hedges count as retries too."),
 		field.Share("limit-overshoot", func(s *Settings) *float64 { return &s.Limits.LimitOvershoot }).
 			WithDefault("0").WithMeaning("Share by which the requests run for an organisation may exceed its rate and burst."),
 		field.Integer("limit-slack", 0, 1000000, func(s *Settings) *int { return &s.Limits.LimitSlack }).
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -163,6 +163,7 @@
 		OpenToAnyKey:      d.onPlatform(),
 		Service:           d.settings.Daemon.Service,
 		RetryBudget:       d.retries,
+		Hedges:            d.hedges(),
 		RepeatProbability: d.guard.RepeatProbability,
 	})
 	d.startedIngress.Store(d.ingress)
--- a/guard/check.go
+++ b/guard/check.go
@@ -39,8 +39,10 @@
 	// ReasonRetryBudget means that the retry budget of a service that the attempt would
 	// call again is used up.
 	ReasonRetryBudget = "retry-budget-empty"
-	ReasonNotSent     = "backend-unreachable"
-	reasonNone        = ""
+	// ReasonMakesCalls means that a hedged request would make calls to other services.
+	ReasonMakesCalls = "makes-calls"
+	ReasonNotSent    = "backend-unreachable"
+	reasonNone       = ""
 )
 
 // The reasons for which a guard can't tell whether a request ran to completion.
--- a/hop/envelope.go
+++ b/hop/envelope.go
@@ -67,6 +67,9 @@
 	Prompt bool
 	// Repeated reports that an earlier attempt of the request may have reached a backend server.
 	Repeated bool
+	// Hedge reports that an earlier attempt is in flight and may run to its end; the guard refuses
+	// the request if its run would make calls of its own.
+	Hedge bool
 	// Revision is the revision of the configuration that the ingress used.
 	Revision uint64
 }
@@ -87,6 +90,7 @@
 	setFlag(h, "Forced", e.Forced)
 	setFlag(h, "Prompt", e.Prompt)
 	setFlag(h, "Repeated", e.Repeated)
+	setFlag(h, "Hedge", e.Hedge)
 	h.Set(Prefix+"Class", e.Class.String())
 	h.Set(Prefix+"Revision", strconv.FormatUint(e.Revision, 10))
 }
@@ -108,6 +112,7 @@
 		Forced:        h.Get(Prefix+"Forced") != "",
 		Prompt:        h.Get(Prefix+"Prompt") != "",
 		Repeated:      h.Get(Prefix+"Repeated") != "",
+		Hedge:         h.Get(Prefix+"Hedge") != "",
 		Revision:      r.unsigned("Revision"),
 	}
 	attempt, err := id.Parse(h.Get(Prefix + "Attempt"))
--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -38,7 +38,7 @@
 	sent := hop.Envelope{
 		Attempt: id.New("vm-1", 7, 9), RequestID: "9c41", Backend: "rounds 1/ä", Incarnation: 1, Expires: 20, TokenExpires: 3,
 		Organisation: "kowalski-orchards", KeyID: "k1", Route: "visits", Class: class.Reservation, CallerService: "fieldwork",
-		Repeatable: true, Forced: true, Prompt: true, Repeated: true, Revision: 4,
+		Repeatable: true, Forced: true, Prompt: true, Repeated: true, Hedge: true, Revision: 4,
 	}
 	for _, field := range reflect.VisibleFields(reflect.TypeOf(sent)) {
 		if field.Name != "Class" && reflect.ValueOf(sent).FieldByIndex(field.Index).IsZero() {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -25,6 +25,7 @@
 type sentAttempt struct {
 	exchange *exchange
 	number   uint8
+	hedge    bool
 	target   chooser.Target
 	token    *enforcer.Token
 	cancel   context.CancelFunc
@@ -45,6 +46,7 @@
 	s := &sentAttempt{
 		exchange: x,
 		number:   a.ID.Attempt,
+		hedge:    x.picksHedge,
 		target:   x.target,
 		token:    x.takeToken(),
 		cancel:   cancel,
@@ -60,8 +62,9 @@
 			CallerService: x.ingress.Service,
 			Repeatable:    x.route.Repeatable,
 			Forced:        x.target.Forced,
-			Prompt:        x.prompt(),
+			Prompt:        x.picksHedge || x.prompt(),
 			Repeated:      x.mayHaveArrived(),
+			Hedge:         x.picksHedge,
 			Revision:      x.snapshot.Revision,
 		},
 	}
@@ -103,6 +106,7 @@
 		i.Observer.AnswerDropped(s.envelope.Attempt)
 	}
 	s.reportTokenUse(err)
+	s.reportToHedging(ctx, took, err)
 	s.reportToChooser(ctx, took, err)
 	i.Observer.AttemptEnded(AttemptRecord{
 		Attempt: s.envelope.Attempt, RequestID: s.envelope.RequestID,
@@ -171,9 +175,17 @@
 		Report:  s.answer.Report.Load,
 	}
 	i.Chooser.AttemptEnded(ended)
-	if ended.Verdict == verdict.OK {
-		i.observeLatency(s.exchange.route.Name, took)
+}
+
+// reportToHedging tells the hedging what a hedge took, or how long another attempt did.
+func (s *sentAttempt) reportToHedging(ctx context.Context, took time.Duration, err error) {
+	i := s.exchange.ingress
+	if !s.hedge {
+		i.hedging.observe(i.Clock(), s.exchange.route, s.exchange.service, took, s.verdict(ctx, err))
+		return
 	}
+	notRun := errors.Is(err, forwarder.ErrNotSent) || err == nil && s.answer.Report.Ending == hop.NotRun
+	s.settleHedge(took, !notRun, err == nil && s.answer.Report.Ending == hop.Ran && ctx.Err() == nil)
 }
 
 // verdict returns what the outcome of the attempt says about the backend server or the
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -68,6 +68,10 @@
 	// is the number withdrawn from it and not yet charged, so that a trial that fails can
 	// be retried.
 	charged, reserved int
+	// hedgeAfter is the time after which the request is hedged, 0 for never; picksHedge
+	// reports whether the next attempt is a hedge.
+	hedgeAfter time.Duration
+	picksHedge bool
 	// expired reports whether a guard saw the deadline pass before this ingress did.
 	expired bool
 }
@@ -89,12 +93,13 @@
 		repeated = i.RepeatProbability(x.callerDeadline(), x.service)
 	}
 	i.deposit(x.service, repeated)
+	x.hedgeAfter = i.hedging.delay(i.Clock(), x.route, x.service, x.class, len(x.request.Body))
 	begin := lifecycle.Begin{
 		Repeatable:  x.route.Repeatable,
 		Deadline:    x.deadline,
 		MaxAttempts: maxDispatches,
 		MaxRuns:     uint8(min(x.route.AttemptLimit(), math.MaxUint8)),
-		Hedge:       i.hedgeDelay(x.route.Name),
+		Hedge:       x.hedgeAfter,
 	}
 	var event decision.Event = begin
 	for {
@@ -162,7 +167,7 @@
 		x.holdToken(token)
 		return event
 	}
-	if !x.charge() {
+	if p == lifecycle.HedgePurpose && !x.mayHedge() || !x.charge() {
 		return lifecycle.TokenRefused{Reason: reasonBudget}
 	}
 	go func() {
@@ -264,10 +269,21 @@
 	if !x.chargeRefusals() {
 		return lifecycle.NoneAvailable{Reason: reasonBudget, RetryAfter: budgetRetryAfter}
 	}
-	target, err := x.ingress.Chooser.Pick(picker.Request{
-		Service: x.service, Exclude: p.Exclude,
-		MayBeTrial: x.reserve(), BodyBytes: len(x.request.Body), RunOnce: !x.route.Repeatable,
-	})
+	request := picker.Request{
+		Service: x.service, Exclude: p.Exclude, Class: x.class,
+		BodyBytes: len(x.request.Body), RunOnce: !x.route.Repeatable,
+	}
+	pick := x.ingress.Chooser.Pick
+	if x.picksHedge = p.Hedge; p.Hedge {
+		pick = x.pickHedge
+	} else {
+		request.MayBeTrial = x.reserve()
+	}
+	target, err := pick(request)
+	if err != nil && p.Hedge {
+		x.refundHedge()
+		return lifecycle.NoneAvailable{Reason: reasonNoBackend}
+	}
 	if err != nil {
 		return lifecycle.NoneAvailable{Reason: reasonNoBackend, RetryAfter: time.Second}
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -151,6 +151,8 @@
 	Service string
 	// RetryBudget returns the present bounds of the retry budgets; the defaults if nil.
 	RetryBudget func() RetryBudget
+	// Hedges decides on hedged requests; without a chooser there are none.
+	Hedges Hedges
 	// RepeatProbability returns the probability, from 0 to 1, that a request without a key comes from
 	// a run on this VM's backend server that is itself a repetition, judged by the
 	// deadline and the service of the request. A nil RepeatProbability counts as 0.
@@ -164,6 +166,7 @@
 	Parts
 	self       member.Member
 	retryState *retryState
+	hedging    *hedging
 	requests   atomic.Uint64
 	// lastFailedCall is when a request without a key last failed; nil for never.
 	lastFailedCall atomic.Pointer[time.Time]
@@ -188,7 +191,7 @@
 	if parts.Random == nil {
 		parts.Random = rand.Float64
 	}
-	return &Ingress{Parts: parts, self: self, retryState: newRetryState(parts.RetryBudget), withdrawals: newWithdrawals()}
+	return &Ingress{Parts: parts, self: self, retryState: newRetryState(parts.RetryBudget), hedging: newHedging(parts.Hedges), withdrawals: newWithdrawals()}
 }
 
 // LastFailedCall returns when a request without a key, such as a call of the backend
--- a/ingress/retrystate.go
+++ b/ingress/retrystate.go
@@ -2,10 +2,8 @@
 
 import (
 	"sync"
-	"time"
 
 	"berylpass/attempt/budget"
-	"berylpass/attempt/hedge"
 )
 
 // RetryBudget bounds the retry budget of each service: the number of retries and hedges
@@ -18,18 +16,16 @@
 	StartEmpty bool
 }
 
-// retryState keeps the retry budget of each service, and for each route the latencies that
-// decide when to hedge.
+// retryState keeps the retry budget of each service.
 type retryState struct {
 	mu      sync.Mutex
 	budgets map[string]*budget.Budget
-	hedges  map[string]*hedge.Hedge
 	// retries returns the present bounds of the budgets.
 	retries func() RetryBudget
 }
 
 func newRetryState(retries func() RetryBudget) *retryState {
-	return &retryState{budgets: map[string]*budget.Budget{}, hedges: map[string]*hedge.Hedge{}, retries: retries}
+	return &retryState{budgets: map[string]*budget.Budget{}, retries: retries}
 }
 
 func defaultRetries() RetryBudget {
@@ -50,16 +46,6 @@
 	return b.WithBurst(r.Burst)
 }
 
-// hedge returns the hedge of a route. The caller must hold s.mu.
-func (s *retryState) hedge(route string) *hedge.Hedge {
-	h, ok := s.hedges[route]
-	if !ok {
-		h = hedge.New()
-		s.hedges[route] = h
-	}
-	return h
-}
-
 // deposit adds a request's share to the service's retry budget and charges it repeated, the
 // probability from 0 to 1 that the request comes from a repeated run on this VM.
 func (i *Ingress) deposit(service string, repeated float64) {
@@ -70,17 +56,6 @@
 	b.Charge(repeated)
 }
 
-// hedgeDelay returns the time after which a request on the route is hedged, 0 for never.
-func (i *Ingress) hedgeDelay(route string) time.Duration {
-	i.retryState.mu.Lock()
-	defer i.retryState.mu.Unlock()
-	delay, ok := i.retryState.hedge(route).Delay(i.Clock())
-	if !ok {
-		return 0
-	}
-	return delay
-}
-
 // withdraw takes one extra attempt from the service's retry budget and reports whether there
 // was one.
 func (i *Ingress) withdraw(service string) bool {
@@ -104,10 +79,3 @@
 	defer i.retryState.mu.Unlock()
 	return i.retryState.budget(service).Available()
 }
-
-// observeLatency records the latency of a successful attempt for the route's hedge.
-func (i *Ingress) observeLatency(route string, took time.Duration) {
-	i.retryState.mu.Lock()
-	defer i.retryState.mu.Unlock()
-	i.retryState.hedge(route).Observe(i.Clock(), took)
-}
