--- a/daemon/start.go
+++ b/daemon/start.go
@@ -167,6 +167,7 @@
 		OpenToAnyKey:      d.onPlatform(),
 		Service:           d.settings.Daemon.Service,
 		RetryBudget:       d.retries,
+		Hedges:            d.hedges(),
 		RepeatProbability: d.guard.RepeatProbability,
 		Ranked:            d.onPlatform(),
 		RankOfCall:        d.guard.RankOfCall,
--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -40,7 +40,7 @@
 		Attempt: id.New("vm-1", 7, 9), RequestID: "9c41", Backend: "rounds 1/ä", Incarnation: 1, Expires: 20, TokenExpires: 3,
 		TokenHolder: "vm-2", TokenID: 1 << 63,
 		Organisation: "kowalski-orchards", KeyID: "k1", Route: "visits", Class: class.Reservation, CallerService: "fieldwork",
-		Repeatable: true, Forced: true, Prompt: true, Repeated: true, Revision: 4,
+		Repeatable: true, Forced: true, Prompt: true, Repeated: true, Hedge: true, Revision: 4,
 		Rank: urgency.Of(2, "kowalski-orchards").OfCall(), Target: 12,
 	}
 	for _, field := range reflect.VisibleFields(reflect.TypeOf(sent)) {
