limit/pool: a limit is issued twice while regions are cut off

Two halves of a fleet, neither isolated by itself, each issue the whole limit from 8 s after the cut: 1,557 runs too many in a minute at a limit of 30 a second.

--- a/limit/pool/pool_test.go
+++ b/limit/pool/pool_test.go
@@ -307,3 +307,34 @@
 		t.Error("two daemons issued tokens of one share")
 	}
 }
+
+// TestLimitHoldsWhileRegionsAreCutOff cuts the link between two regions for a minute. Neither is isolated by itself, but both
+// together must stay within the limit.
+func TestLimitHoldsWhileRegionsAreCutOff(t *testing.T) {
+	limit := Limit{Rate: 30, Burst: 30}
+	f := newFleet(12, limit)
+	f.now = f.now.Add(10 * time.Second)
+	f.gossip()
+	east := func(n int) bool { return n%2 == 0 }
+	for end := f.now.Add(time.Minute); f.now.Before(end); f.now = f.now.Add(10 * time.Millisecond) {
+		for i, p := range f.pools {
+			var members []member.Member
+			for j := range f.pools {
+				m := member.New(id(j), datacentres[j%len(datacentres)])
+				if east(i) != east(j) {
+					m = m.WithState(member.Dead)
+				}
+				members = append(members, m)
+			}
+			p.SetMembers(f.now, members, true, false)
+		}
+		for _, p := range f.pools {
+			if p.Take(f.now, organisation) {
+				f.runs = append(f.runs, f.now)
+			}
+		}
+	}
+	if over := f.excess(limit); over > 1 {
+		t.Errorf("the runs exceed the limit by %.0f requests of %d", over, len(f.runs))
+	}
+}
