limit/enforcer: a renewed token is given back twice

The ingress knows a guard's clock from below only, so the guard may take a token for expired and renew it while it still holds for the ingress. If the attempt has not run, the guard returns the new token and the ingress the old one, or uses it again.

--- a/limit/enforcer/renewal_test.go
+++ b/limit/enforcer/renewal_test.go
@@ -53,3 +53,33 @@
 		}
 	}
 }
+
+// TestRenewedTokenIsNotGivenBackTwice lets a guard, whose clock the ingress knows only from below, renew a token that still
+// holds for the ingress. If the attempt has not run, both give their token back: the bucket may get only one.
+func TestRenewedTokenIsNotGivenBackTwice(t *testing.T) {
+	const burst = 4
+	s := snapshot.New(1).WithOrganisation(organisation.New("parish").WithLimit(0.001, burst)).Index()
+	now := time.Unix(1000, 0)
+	_, fleet := startFleet(t, 1, s, func() time.Time { return now })
+	now = now.Add(100 * time.Hour)
+	ctx, e := context.Background(), fleet[0]
+	var drawn []Token
+	for token, err := e.Draw(ctx, "parish"); err == nil; token, err = e.Draw(ctx, "parish") {
+		drawn = append(drawn, token)
+	}
+	// The guard takes the token for expired a few milliseconds before the ingress does.
+	now = now.Add(DefaultTokenLifetime - 10*time.Millisecond)
+	renewed, err := e.Renew(ctx, drawn[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Return(renewed)
+	e.Return(drawn[0])
+	again := 0
+	for _, err := e.Draw(ctx, "parish"); err == nil; _, err = e.Draw(ctx, "parish") {
+		again++
+	}
+	if again > 1 {
+		t.Errorf("one of %d tokens was not used, and %d more were issued", len(drawn), again)
+	}
+}
