choice/picker: no floor in a home region

The floor is applied to the own region and to all others together, so all backend servers of a third region may be ejected. A request that is at home there only is refused, though the least bad of them would be used if that region were alone.

--- a/choice/picker/region_test.go
+++ b/choice/picker/region_test.go
@@ -198,3 +198,19 @@
 		t.Errorf("%d reports asked for, ejected: %v; want some, and the slow backend server ejected", asked, ejected)
 	}
 }
+
+// TestFloorHoldsInEachHomeRegion lets all backend servers of one of two other regions fail some of their requests. A request
+// that is at home there only must still get the least bad of them, as in a fleet that has that region alone.
+func TestFloorHoldsInEachHomeRegion(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := newRegionPicker(now, 6, WithRegions(ratedSpill(1e7)))
+	p.Update(now, ServiceUpdated{Service: service.New("rounds").WithRamp(0).WithFloor(0.5)})
+	for i := range 6 {
+		b := backend.New(backend.ID(fmt.Sprintf("j-%02d", i)), "rounds", member.ID(fmt.Sprintf("vm-j%02d", i))).WithSlots(4)
+		p.Update(now, BackendUpdated{Backend: b, Datacentre: "far-0", Region: "far", InService: true})
+		p.Update(now, ReportReceived{Backend: b.ID, Report: report.Report{Breaker: breaker.Open, BreakerScore: 9, Limit: 4}})
+	}
+	if chosen, err := p.PickFor(now, Request{Service: "rounds", HomeRegions: []string{"far"}}); err != nil {
+		t.Errorf("got %q, %v; want a backend server of the home region", chosen, err)
+	}
+}
