choice/picker: answers of forced requests use up the share of the link

Requests whose only homes are abroad are not charged when they leave, but their answers are. One answer of 4 MB at 30 kB/s is a debt of over two minutes, in which all that the region has no backend server for is refused.

--- a/choice/picker/region_test.go
+++ b/choice/picker/region_test.go
@@ -199,6 +199,31 @@
 	}
 }
 
+// TestAnswersOfForcedRequestsLeaveTheShareAlone guards against requests whose only homes are abroad, which are not charged
+// to the share of the link, using it up by their answers: all that the region has no backend server for is refused then.
+func TestAnswersOfForcedRequestsLeaveTheShareAlone(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := newRegionPicker(now, 6, WithRegions(ratedSpill(30_000)))
+	p.Update(now, ServiceUpdated{Service: service.New("maps").WithRamp(0)})
+	abroad := backend.New("m-00", "maps", "vm-20").WithSlots(4)
+	p.Update(now, BackendUpdated{Backend: abroad, Datacentre: "there-0", Region: "there", InService: true})
+	now = now.Add(5 * time.Second)
+	if _, err := p.PickFor(now, Request{Service: "maps"}); err != nil {
+		t.Fatalf("before: %v", err)
+	}
+	attempt := id.New("vm-00", 1, 1)
+	chosen, err := p.PickFor(now, Request{Service: "rounds", HomeRegions: []string{"there"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Update(now, AttemptStarted{Attempt: attempt, Backend: chosen})
+	p.Update(now, AttemptEnded{Attempt: attempt, Backend: chosen, Verdict: verdict.OK, Took: time.Second, AnswerBytes: 4 << 20})
+	now = now.Add(30 * time.Second)
+	if _, err := p.PickFor(now, Request{Service: "maps"}); err != nil {
+		t.Errorf("30 s after a forced request's answer of 4 MB, another one is refused: %v", err)
+	}
+}
+
 // TestFloorHoldsInEachHomeRegion lets all backend servers of one of two other regions fail some of their requests. A request
 // that is at home there only must still get the least bad of them, as in a fleet that has that region alone.
 func TestFloorHoldsInEachHomeRegion(t *testing.T) {
