choice/picker: the own region is unknown without backend servers there

The picker learns the name of its region from backend servers in it. Without any, requests that are at home here and elsewhere count as forced and leave without regard to the share of the link.

--- a/choice/picker/region_test.go
+++ b/choice/picker/region_test.go
@@ -224,6 +224,22 @@
 	}
 }
 
+// TestHomeIsKnownWithoutBackendServersHere guards against an ingress that knows no backend server of its own region, as after
+// a restart during a failure there: a request that is at home in both regions is not forced abroad and keeps to the share.
+func TestHomeIsKnownWithoutBackendServersHere(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := New(1, WithRegions(ratedSpill(0)), WithLocalFirst())
+	p.Update(now, ServiceUpdated{Service: service.New("rounds").WithRamp(0)})
+	b := backend.New("i-00", "rounds", "vm-00").WithSlots(4)
+	p.Update(now, BackendUpdated{Backend: b, Datacentre: "there-0", Region: "there", InService: true})
+	if _, err := p.PickFor(now, Request{Service: "rounds"}); !errors.Is(err, ErrNoBackend) {
+		t.Fatalf("without homes: %v, want %v", err, ErrNoBackend)
+	}
+	if got, err := p.PickFor(now, Request{Service: "rounds", HomeRegions: []string{"here", "there"}}); !errors.Is(err, ErrNoBackend) {
+		t.Errorf("at home here and there: got %q, %v without a share of the link; want %v", got, err, ErrNoBackend)
+	}
+}
+
 // TestFloorHoldsInEachHomeRegion lets all backend servers of one of two other regions fail some of their requests. A request
 // that is at home there only must still get the least bad of them, as in a fleet that has that region alone.
 func TestFloorHoldsInEachHomeRegion(t *testing.T) {
