--- a/choice/fairqueue/precedence_test.go
+++ b/choice/fairqueue/precedence_test.go
@@ -97,3 +97,22 @@
 		t.Errorf("displaced for a request of the third level: %v, want none", got)
 	}
 }
+
+// TestCallsOfLessUrgentRunsGetAPart keeps calls of the most and of the least urgent runs queued. The latter hold slots
+// elsewhere until their calls end, so some of them must be served as well.
+func TestCallsOfLessUrgentRunsGetAPart(t *testing.T) {
+	const turns = 10_000
+	q := fairqueue.New(fairqueue.WithPrecedence())
+	for n, priority := range []int{0, 3} {
+		q.Push(fairqueue.Item{ID: id.New("vm", 1, uint64(n)), Rank: urgency.Of(priority, fmt.Sprint(priority)).OfCall(), Cost: time.Second})
+	}
+	served := map[urgency.Level]int{}
+	for range turns {
+		item, _ := q.Pop(start, urgency.Fourth)
+		served[item.Rank.Inherited]++
+		q.Push(item)
+	}
+	if served[urgency.Fourth] < turns/200 {
+		t.Errorf("calls of runs of the fourth level got %d of %d turns, want at least %d", served[urgency.Fourth], turns, turns/200)
+	}
+}
