--- a/choice/fairqueue/precedence_test.go
+++ b/choice/fairqueue/precedence_test.go
@@ -116,3 +116,15 @@
 		t.Errorf("calls of runs of the fourth level got %d of %d turns, want at least %d", served[urgency.Fourth], turns, turns/200)
 	}
 }
+
+// TestUrgentCallGoesFirstWithinAnOrganisation checks that a call of an urgent run goes before those of less urgent runs of the
+// same organisation, as it does before those of other organisations.
+func TestUrgentCallGoesFirstWithinAnOrganisation(t *testing.T) {
+	q := fairqueue.New(fairqueue.WithPrecedence())
+	for n, priority := range []int{3, 3, 0} {
+		q.Push(fairqueue.Item{ID: id.New("vm", 1, uint64(n)), Rank: urgency.Of(priority, "a").OfCall(), Cost: time.Second})
+	}
+	if got, _ := q.Pop(start, urgency.Fourth); got.Rank.Inherited != urgency.First {
+		t.Errorf("a call of a run of the %v level went first, want that of the first", got.Rank.Inherited)
+	}
+}
