guard: without keys all newcomers count as calls

RankOfCall takes each request without a key for a call while anything runs on the VM, whatever its deadline. Without organisations no request has a key, so priorities hardly count, and open routes of any priority go before requests with keys.

--- a/guard/rank_test.go
+++ b/guard/rank_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"berylpass/attempt/id"
+	"berylpass/choice/fairqueue"
 	"berylpass/choice/urgency"
 	"berylpass/fleet/backend"
 	"berylpass/fleet/member"
@@ -46,3 +47,26 @@
 		}
 	}
 }
+
+// TestPrioritiesHoldWithoutKeys checks that newcomers without keys, all there are in a configuration without organisations,
+// aren't taken for calls of a run whose deadline is far from theirs: a full queue makes room for the most urgent of them.
+func TestPrioritiesHoldWithoutKeys(t *testing.T) {
+	g := New(member.New("vm-1", "srem").WithIncarnation(1), Parts{
+		Configuration: twoRoutes{}, Observer: &stateRecorder{states: map[backend.ID]backend.State{}}, Limit: unlimited{}, Precedence: true,
+	})
+	defer g.Close()
+	g.attempts[id.New("vm-2", 1, 1)] = &attempt{running: true, deadline: g.started.Add(time.Second), envelope: hop.Envelope{Rank: urgency.Of(0, "")}}
+	rankOf := func(priority int) urgency.Rank {
+		if r, ok := g.RankOfCall(g.started.Add(30*time.Second), urgency.Of(priority, "")); ok {
+			return r
+		}
+		return urgency.Of(priority, "")
+	}
+	q := fairqueue.New(fairqueue.WithPrecedence())
+	for n := range uint64(20) {
+		q.Push(fairqueue.Item{ID: id.New("vm-3", 1, n), Rank: rankOf(3), Cost: time.Second})
+	}
+	if _, ok := q.Victim(rankOf(0)); !ok {
+		t.Error("a full queue of requests of priority 3 makes no room for one of priority 0")
+	}
+}
