ingress: hedges beyond the retry budget

A hedge after one that a backend server has refused uses the token of that one, so that neither the retry budget nor the allowance is asked; and if no backend server is found for it, the charge of the first is given back although it arrived.

--- a/ingress/hedging_test.go
+++ b/ingress/hedging_test.go
@@ -132,3 +132,72 @@
 		t.Error("the route is hedged again at once")
 	}
 }
+
+// shedHop is a Hop on which the first attempt ends only when it is cancelled, the first hedge is refused by its backend
+// server, and all others run. It counts the hedges.
+type shedHop struct{ hedges chan hop.Envelope }
+
+func (h shedHop) Forward(ctx context.Context, _ string, e hop.Envelope, _ forwarder.Request) (forwarder.Answer, error) {
+	if !e.Hedge {
+		<-ctx.Done()
+		return forwarder.Answer{}, fmt.Errorf("%w: %w", forwarder.ErrAnswerLost, ctx.Err())
+	}
+	report := hop.Report{Attempt: e.Attempt, Ending: hop.Ran}
+	if len(h.hedges) == 0 {
+		report.Ending, report.Reason = hop.NotRun, guard.ReasonShed
+	}
+	h.hedges <- e
+	return forwarder.Answer{Status: http.StatusOK, Header: http.Header{}, Report: report}, nil
+}
+
+// laterHedges is a hedgeChooser whose hedges are sent late enough that the first one's refusal is known before the next one is
+// due.
+type laterHedges struct{ *hedgeChooser }
+
+func (laterHedges) HedgeDelay(string, class.Class) (time.Duration, bool) {
+	return 20 * time.Millisecond, true
+}
+
+// TestEachHedgeIsChargedToTheRetryBudget checks that a hedge which uses the token of one that a backend server has refused is
+// charged as well: both arrive at a backend server.
+func TestEachHedgeIsChargedToTheRetryBudget(t *testing.T) {
+	h := shedHop{hedges: make(chan hop.Envelope, 100)}
+	i, c, _ := newHedgingIngress(0.1, hedgeHop{})
+	i.Hop, i.hedging.Chooser = h, laterHedges{c}
+	i.retryState = newRetryState(func() RetryBudget { return RetryBudget{Burst: 1} })
+	earn(t, i)
+	c.first = "slow"
+	get(i, 200*time.Millisecond)
+	if n := len(h.hedges); n > 1 {
+		t.Errorf("%d hedges were sent with a retry budget of one extra attempt", n)
+	}
+}
+
+// noSecondHedge is a laterHedges that finds a backend server for the first hedge only.
+type noSecondHedge struct {
+	laterHedges
+	picked chan struct{}
+}
+
+func (c noSecondHedge) PickHedge(r picker.Request) (chooser.Target, error) {
+	if len(c.picked) > 0 {
+		return chooser.Target{}, picker.ErrNoBackend
+	}
+	c.picked <- struct{}{}
+	return c.laterHedges.PickHedge(r)
+}
+
+// TestRefusedHedgeStaysCharged checks that the charge of a hedge which a backend server has refused is not given back when
+// no backend server is found for a further one.
+func TestRefusedHedgeStaysCharged(t *testing.T) {
+	h := shedHop{hedges: make(chan hop.Envelope, 100)}
+	i, c, _ := newHedgingIngress(0.1, hedgeHop{})
+	i.Hop, i.hedging.Chooser = h, noSecondHedge{laterHedges: laterHedges{c}, picked: make(chan struct{}, 10)}
+	i.retryState = newRetryState(func() RetryBudget { return RetryBudget{Burst: 1} })
+	earn(t, i)
+	c.first = "slow"
+	get(i, 200*time.Millisecond)
+	if len(h.hedges) != 1 || i.HasRetryBudget("rounds") {
+		t.Errorf("%d hedges reached a backend server, extra attempts left: %v; want one, and none left", len(h.hedges), i.HasRetryBudget("rounds"))
+	}
+}
