ingress, lifecycle, limits: what the review of hedges and renewed tokens found

Cause: a hedge that took the token of a refused one was neither charged to the retry budget nor to the allowance, and an attempt drawn for as a hedge stayed one after the first had failed, so that it was given up without spare room. A renewed token was given back by the guard and, as the ingress took the first one for good, a second time. Change: each hedge is charged where its backend server is picked; an attempt with nothing in flight is no hedge; a guard doesn't give back a renewed token, and a holder takes back its own tokens by their IDs.

--- a/attempt/lifecycle/lifecycle.go
+++ b/attempt/lifecycle/lifecycle.go
@@ -84,7 +84,7 @@
 	unusedTokens int
 	// preparing reports whether a DrawToken or a Pick for the next attempt is pending.
 	preparing bool
-	// hedging reports whether the attempt in preparation is made beside one that is in flight.
+	// hedging reports whether the attempt in preparation was started beside one that was in flight.
 	hedging bool
 	// deadlinePassed is set when the Deadline timer has fired.
 	deadlinePassed bool
@@ -157,7 +157,7 @@
 	for _, a := range l.attempts {
 		exclude = append(exclude, a.backend)
 	}
-	l.emit(Pick{Exclude: exclude, Hedge: l.hedging})
+	l.emit(Pick{Exclude: exclude, Hedge: l.hedging && l.count(inFlight) > 0})
 }
 
 func (l *Lifecycle) tokenDrawn() {
--- a/guard/token.go
+++ b/guard/token.go
@@ -13,7 +13,8 @@
 // requests without an organisation, which only open routes allow.
 type token struct {
 	expires time.Time
-	// drawn is the token that this guard has drawn or renewed; nil if the token came with the request.
+	// drawn is the token that this guard has drawn; nil if the token came with the request, renewed or not. The
+	// ingress gives such a token back if the request does not run: it may not know that the token has expired.
 	drawn *enforcer.Token
 	limit Limit
 }
@@ -29,7 +30,7 @@
 	}
 	late := enforcer.Token{Organisation: e.Organisation, Holder: e.TokenHolder, ID: e.TokenID}
 	if renewed, err := g.Limit.Renew(ctx, late); err == nil {
-		return token{expires: renewed.Expires, drawn: &renewed, limit: g.Limit}, nil
+		return token{expires: renewed.Expires}, nil
 	}
 	drawn, err := g.Limit.Draw(ctx, e.Organisation)
 	if err != nil {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -75,6 +75,8 @@
 	// reports whether the next attempt is a hedge.
 	hedgeAfter time.Duration
 	picksHedge bool
+	// unpaid reports whether the attempt in preparation was drawn for as a hedge and is not charged yet.
+	unpaid bool
 	// expired reports whether a guard saw the deadline pass before this ingress did.
 	expired bool
 }
@@ -163,14 +165,15 @@
 }
 
 // draw draws the token for an attempt. For the first attempt it waits for the token; for
-// retries and hedges it charges the retry budget and draws the token in the background.
+// retries it charges the retry budget, for hedges pick does so, and draws the token in the background.
 func (x *exchange) draw(p lifecycle.Purpose) decision.Event {
 	if p == lifecycle.FirstPurpose {
 		token, event := x.drawToken()
 		x.holdToken(token)
 		return event
 	}
-	if p == lifecycle.HedgePurpose && !x.mayHedge() || !x.charge() {
+	x.unpaid = p == lifecycle.HedgePurpose
+	if x.unpaid && !x.mayHedge() || !x.unpaid && !x.charge() {
 		return lifecycle.TokenRefused{Reason: reasonBudget}
 	}
 	go func() {
@@ -278,17 +281,16 @@
 		LargeAnswer: x.route.LargeAnswer, Priority: x.route.Priority,
 		HomeRegions: home.New(x.route, x.snapshot.Organisations[x.caller.organisation]).Regions(),
 	}
-	pick := x.ingress.Chooser.Pick
-	if x.picksHedge = p.Hedge; p.Hedge {
-		pick = x.pickHedge
-	} else {
-		request.MayBeTrial = x.reserve()
+	x.picksHedge = p.Hedge
+	if p.Hedge {
+		return x.pickHedge(request)
 	}
-	target, err := pick(request)
-	if err != nil && p.Hedge {
-		x.refundHedge()
-		return lifecycle.NoneAvailable{Reason: reasonNoBackend}
+	if x.unpaid && !x.charge() {
+		return lifecycle.NoneAvailable{Reason: reasonBudget, RetryAfter: budgetRetryAfter}
 	}
+	x.unpaid = false
+	request.MayBeTrial = x.reserve()
+	target, err := x.ingress.Chooser.Pick(request)
 	if err != nil {
 		return lifecycle.NoneAvailable{Reason: reasonNoBackend, RetryAfter: time.Second}
 	}
--- a/ingress/hedging.go
+++ b/ingress/hedging.go
@@ -6,11 +6,13 @@
 
 	"berylpass/attempt/allowance"
 	"berylpass/attempt/hedge"
+	"berylpass/attempt/lifecycle"
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
 	"berylpass/choice/verdict"
 	"berylpass/config/class"
 	"berylpass/config/route"
+	"berylpass/decision"
 	"berylpass/guard"
 )
 
@@ -131,22 +133,22 @@
 	return x.hedgeAfter > 0 && x.ingress.hedging.allows(x.service, x.hedgeAfter)
 }
 
-// pickHedge asks for a backend server for a hedge and reserves its slot time.
-func (x *exchange) pickHedge(r picker.Request) (chooser.Target, error) {
-	h := x.ingress.hedging
-	target, err := h.Chooser.PickHedge(r)
-	if err == nil {
-		h.spend(x.service, x.hedgeAfter)
+// pickHedge asks for a backend server for a hedge, charges the retry budget and reserves its slot time. A hedge may
+// use the token of one that has not run, so the limits are asked here and not when the token is drawn.
+func (x *exchange) pickHedge(r picker.Request) decision.Event {
+	x.unpaid = false
+	if !x.mayHedge() || !x.charge() {
+		return lifecycle.NoneAvailable{Reason: reasonBudget}
 	}
-	return target, err
-}
-
-// refundHedge returns the extra attempt that was charged for a hedge which is not sent.
-func (x *exchange) refundHedge() {
-	if x.charged > 0 {
+	target, err := x.ingress.hedging.Chooser.PickHedge(r)
+	if err != nil {
 		x.charged--
 		x.ingress.refund(x.service, 1)
+		return lifecycle.NoneAvailable{Reason: reasonNoBackend}
 	}
+	x.ingress.hedging.spend(x.service, x.hedgeAfter)
+	x.target = target
+	return lifecycle.Picked{Backend: target.Backend.ID, Guard: target.Guard.ID}
 }
 
 // settleHedge replaces the reserved slot time of a hedge by what it took, and tells the observer.
--- a/limit/enforcer/enforcer.go
+++ b/limit/enforcer/enforcer.go
@@ -424,6 +424,10 @@
 func (e *Enforcer) Return(t Token) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if t.ID != 0 && t.Holder == e.options.Self {
+		e.pool.TakeBack(e.options.Clock(), t.Organisation, t.ID)
+		return
+	}
 	e.pool.Return(e.options.Clock(), t.Organisation, t.Expires)
 }
 
--- a/limit/pool/pool.go
+++ b/limit/pool/pool.go
@@ -345,7 +345,17 @@
 	return granted, own.tokens, true
 }
 
-// Return gives back a token whose request has certainly not run. If the daemon holds no
+// TakeBack takes back a token of this daemon's share, given by its ID, whose request has certainly not run. A token that
+// was renewed has another ID since.
+func (p *Pool) TakeBack(now time.Time, organisation string, id uint64) {
+	if r := p.organisations[organisation]; r != nil {
+		if own := p.refill(now, r, organisation); own != nil {
+			own.takeBack(now, id)
+		}
+	}
+}
+
+// Return gives back a token of another daemon's share whose request has certainly not run. If the daemon holds no
 // share, it keeps the token for Take until the token expires.
 func (p *Pool) Return(now time.Time, organisation string, expires time.Time) {
 	r := p.organisations[organisation]
--- a/limit/pool/share.go
+++ b/limit/pool/share.go
@@ -84,19 +84,25 @@
 	}
 }
 
-// returned takes back a token that was not used.
+// returned takes back a token of another daemon's share that was not used.
 func (s *ownShare) returned() {
 	s.tokens = min(s.tokens+1, s.burst)
 	s.base = min(s.base+1, s.burst)
 }
 
-// renew moves the token with the given ID to the present time, if the bucket would have had a token for every issue
-// in that order, and returns its new ID.
-func (s *ownShare) renew(now time.Time, id uint64) (renewed uint64, ok bool) {
+// takeBack takes back the token with the given ID, which was not used. It does nothing if the token was taken back or
+// renewed already, or is too old.
+func (s *ownShare) takeBack(now time.Time, id uint64) {
 	at := slices.IndexFunc(s.issues, func(i issue) bool { return i.id == id })
 	if at < 0 {
-		return 0, false
+		return
 	}
+	s.tokens = max(s.tokens, s.levelWithout(now, at))
+	s.issues = slices.Delete(s.issues, at, at+1)
+}
+
+// levelWithout returns the present level if the issue with the given index had not been made.
+func (s *ownShare) levelWithout(now time.Time, at int) float64 {
 	level, from := s.base, s.baseAt
 	for n, i := range s.issues {
 		if n == at {
@@ -104,7 +110,18 @@
 		}
 		level, from = s.levelAfter(level, from, i.at)-1, i.at
 	}
-	if level = s.levelAfter(level, from, now) - 1; level < -levelTolerance {
+	return s.levelAfter(level, from, now)
+}
+
+// renew moves the token with the given ID to the present time, if the bucket would have had a token for every issue
+// in that order, and returns its new ID.
+func (s *ownShare) renew(now time.Time, id uint64) (renewed uint64, ok bool) {
+	at := slices.IndexFunc(s.issues, func(i issue) bool { return i.id == id })
+	if at < 0 {
+		return 0, false
+	}
+	level := s.levelWithout(now, at) - 1
+	if level < -levelTolerance {
 		return 0, false
 	}
 	s.issues = slices.Delete(s.issues, at, at+1)
