--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -95,6 +95,10 @@
 	LimitSlack     int
 	// CallerConnections is the largest number of callers' connections open at once.
 	CallerConnections int
+	// Memory is the memory in bytes that the daemon may use, Descriptors the number of file
+	// descriptors; 0 for what the VM has.
+	Memory      int64
+	Descriptors int
 }
 
 // Shutdown is the section [shutdown]. Grace is how long requests in flight may go on after
--- a/config/settings/table.go
+++ b/config/settings/table.go
@@ -97,6 +97,7 @@
 			WithDefault("0").WithMeaning("Number by which the requests run for an organisation may exceed its limit in addition."),
 		field.Integer("caller-connections", 1, 1000000, func(s *Settings) *int { return &s.Limits.CallerConnections }).
 			WithDefault("20000").WithMeaning("Largest number of callers' connections open at once; further ones are closed."),
+		memoryField, descriptorsField,
 	}},
 	{"shutdown", field.Table[Settings]{
 		field.Duration("grace", 0, time.Hour, func(s *Settings) *time.Duration { return &s.Shutdown.Grace }).
