caller/memory: one budget for the requests and answers of a daemon

Cause: nothing bounded what a daemon holds. Answers were copied whole into the writer and again into the library's queue, for as long as the caller took; unfinished heads and pipelined requests weren't counted at all; a body was held by the parser and a second time by the ingress, with growth by doubling; bodies that were announced and never sent kept all uploads out for minutes; callers' connections could take all descriptors. Change: caller/memory decides, without I/O, on every reservation: heads that haven't ended, and exchanges (requests, their bodies, answers, queued pieces). What doesn't fit closes the connections that are behind a least pace, the farthest behind first and of these the one that holds most; one that keeps the pace never. Otherwise an answer waits unread, and a request is refused with 503 before it has run. Long reservations leave a tenth to short ones; among unfinished heads the longest goes first. caller/memory/holder carries it out for all ports of a daemon and for whoever reads an answer (leg, forwarder), by the request's context. The listener keeps a body once, in memory of its stated length, and hands it to ingress and guard without a copy; it sends answers in pieces of 64 KiB. A connection over the limit takes the place of the one that has been without a request for longest. Timeouts for heads and idle connections are those of the operators' configuration. The runtime knows the memory limit. Bodies of up to 64 MiB are taken, 32 before. Without settings a daemon takes 256 MiB, or half of the VM's memory if less. Ruled out: reading no further from one connection (the library can't); pace counted from the start of an answer: what the system's buffers took excused a reader that reads nothing for a minute (TestBuffersDontExcuse). Tests changed: TestConnectionsOverLimitAreClosed waits until the first connection has a request, since one without gives way now; TestPipelinedBytesAreBounded names the reservation of the started requests.

--- a/caller/framing/framing.go
+++ b/caller/framing/framing.go
@@ -105,6 +105,9 @@
 // Idle reports whether the framer is between two requests.
 func (f *Framer) Idle() bool { return f.state == inHead && len(f.pending) == 0 }
 
+// Pending returns the number of bytes that the framer holds of a head or line that hasn't ended.
+func (f *Framer) Pending() int { return cap(f.pending) }
+
 // Next returns the first part of data and the rest of data. A part may follow even if
 // the rest is empty: call Next until it returns a part of kind None.
 func (f *Framer) Next(data []byte) (Part, []byte, error) {
--- a/caller/listener/bodies_test.go
+++ b/caller/listener/bodies_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"berylpass/caller/memory"
 )
 
 // awaitNoReservations waits until all bodies are released, which happens after their
@@ -16,11 +18,11 @@
 	ticker := time.NewTicker(time.Millisecond)
 	defer ticker.Stop()
 	limit := time.After(10 * time.Second)
-	for l.bodies.reserved.Load() != 0 {
+	for l.settings.memory.Used(memory.Exchanges) != 0 {
 		select {
 		case <-ticker.C:
 		case <-limit:
-			t.Fatalf("%d bytes are still reserved after all responses", l.bodies.reserved.Load())
+			t.Fatalf("%d bytes are still reserved after all responses", l.settings.memory.Used(memory.Exchanges))
 		}
 	}
 }
--- a/caller/listener/conn.go
+++ b/caller/listener/conn.go
@@ -14,12 +14,12 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"berylpass/caller/framing"
+	"berylpass/caller/memory"
+	"berylpass/caller/memory/holder"
 )
 
 // Timeouts and bounds of a connection.
 const (
-	// headTimeout is the maximum time from the first byte of a head to its end.
-	headTimeout = 10 * time.Second
 	// A body must arrive within bodyTimeout plus the time that its length takes at
 	// minBodyRate, in bytes per second.
 	bodyTimeout = 20 * time.Second
@@ -31,7 +31,7 @@
 	stallTimeout = 20 * time.Second
 	// maxUnsent is the number of unsent bytes, for a slow caller, above which the
 	// handler blocks.
-	maxUnsent = 1 << 20
+	maxUnsent = maxBuffered
 	// maxPipelined is the maximum number of unanswered requests on a connection. What arrives behind them is kept
 	// unread, up to maxHeld bytes: the library can't stop to receive from a single connection.
 	maxPipelined = 32
@@ -46,11 +46,14 @@
 	tls      *nbtls.Conn
 	ctx      context.Context
 	cancel   context.CancelFunc
+	holder   *holder.Holder
 
 	// readMu is held while bytes are processed: by the event loop, or by the handler whose end lets held bytes be
-	// processed. It guards framer, length, inHead and refused, and is locked before all others.
+	// processed. It guards framer, length, body, reserved.head, inHead and refused, and is locked before all others.
 	readMu sync.Mutex
 	framer framing.Framer
+	// body is what has been read of the body.
+	body []byte
 	// length is the length of the body being read, in bytes, or framing.UnknownLength.
 	length int64
 	// inHead is whether the data read so far ends within a head.
@@ -68,8 +71,10 @@
 	lastSent  chan struct{}
 	lastBegun bool
 	// held are bytes that were read while maxPipelined requests were unanswered. They count as bodies in memory.
-	held   []byte
-	bodies bodyReservations
+	held     []byte
+	reserved reservations
+	// quietSince is when the connection was opened, or last ended reading or answering.
+	quietSince time.Time
 	// reading is whether a part of a request has arrived, or data is being processed; partialHead is whether that
 	// part ends within a head.
 	reading     bool
@@ -91,7 +96,8 @@
 }
 
 func newConn(l *Listener, nbc *nbio.Conn) *conn {
-	c := &conn{Conn: nbc, listener: l, framer: framing.New(l.settings.maxHeader, l.settings.maxBody)}
+	c := &conn{Conn: nbc, listener: l, framer: framing.New(l.settings.maxHeader, l.settings.maxBody), quietSince: time.Now()}
+	c.holder = l.settings.memory.Add(c.abort)
 	c.changed.L = &c.mu
 	c.ctx, c.cancel = context.WithCancel(l.base)
 	c.parser = nbhttp.NewParser(c, l.engine.Engine, nbhttp.NewServerProcessor(), false, nbc.Execute)
@@ -157,6 +163,10 @@
 	defer c.mu.Unlock()
 	c.unsent -= n
 	c.written += n
+	c.holder.Moved(int64(n))
+	if c.unsent <= 0 {
+		c.releaseUnsent()
+	}
 	c.changed.Broadcast()
 	if c.unsent == 0 && c.finishing && !c.closed {
 		go c.linger()
@@ -226,13 +236,13 @@
 	c.cancel()
 	c.mu.Lock()
 	c.closed = true
-	c.releaseBodies()
-	c.takeHeld()
+	c.held = nil
 	if c.stallTimer != nil {
 		c.stallTimer.Stop()
 	}
 	c.changed.Broadcast()
 	c.mu.Unlock()
+	c.holder.Leave()
 	c.MustExecute(func() { c.parser.CloseAndClean(net.ErrClosed) })
 	c.listener.untrack(c)
 }
@@ -249,10 +259,10 @@
 	if !idle {
 		return
 	}
-	wait := c.listener.settings.idleTimeout
+	wait := c.listener.idleTimeout()
 	switch {
 	case partialHead:
-		wait = headTimeout
+		wait = c.listener.headTimeout()
 	case reading:
 		wait = c.bodyTimeLimit(framing.UnknownLength)
 	}
@@ -282,8 +292,8 @@
 		return http.StatusRequestEntityTooLarge, "body-too-large"
 	case errors.Is(err, framing.ErrExpectation):
 		return http.StatusExpectationFailed, "unsupported-expectation"
-	case errors.Is(err, errBodiesFull):
-		return http.StatusServiceUnavailable, "bodies-full"
+	case errors.Is(err, errMemoryFull), errors.Is(err, errHeadsFull):
+		return http.StatusServiceUnavailable, "memory-full"
 	case errors.Is(err, errPipelined):
 		return http.StatusBadRequest, "too-many-pipelined-requests"
 	}
@@ -294,6 +304,9 @@
 // requests, and closes the connection.
 func (c *conn) refuse(err error) {
 	c.refused = true
+	c.framer, c.body = framing.Framer{}, nil
+	c.holder.Release(memory.Heads, c.reserved.head)
+	c.reserved.head = 0
 	status, reason := statusOf(err)
 	c.Execute(func() {
 		if c.awaitSent() != nil {
--- a/caller/listener/held.go
+++ b/caller/listener/held.go
@@ -1,6 +1,10 @@
 package listener
 
-import "bytes"
+import (
+	"bytes"
+
+	"berylpass/caller/memory"
+)
 
 // pipelineFull reports whether the connection has as many unanswered requests as it may.
 func (c *conn) pipelineFull() bool {
@@ -10,18 +14,17 @@
 }
 
 // hold keeps bytes until a request is answered. It returns errPipelined if they are more than maxHeld, and
-// errBodiesFull if the listener holds too many bytes.
+// errMemoryFull if there is no memory for them.
 func (c *conn) hold(data []byte) error {
 	if len(data) > maxHeld {
 		return errPipelined
 	}
-	if !c.listener.bodies.reserve(int64(len(data))) {
-		return errBodiesFull
+	if c.holder.TryReserve(memory.Exchanges, int64(len(data))) != nil {
+		return errMemoryFull
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		c.listener.bodies.release(int64(len(data)))
 		return nil
 	}
 	c.held = bytes.Clone(data)
@@ -39,7 +42,7 @@
 func (c *conn) takeHeld() []byte {
 	held := c.held
 	c.held = nil
-	c.listener.bodies.release(int64(len(held)))
+	c.holder.Release(memory.Exchanges, int64(len(held)))
 	return held
 }
 
--- a/caller/listener/input.go
+++ b/caller/listener/input.go
@@ -10,7 +10,6 @@
 
 var (
 	continueResponse = []byte("HTTP/1.1 100 Continue\r\n\r\n")
-	crlf             = []byte("\r\n")
 	// lastChunk ends a chunked body.
 	lastChunk = []byte("0\r\n\r\n")
 )
@@ -27,6 +26,9 @@
 	} else {
 		c.decrypt(data)
 	}
+	if err := c.reserveHead(); err != nil {
+		c.refuse(err)
+	}
 	c.endReading()
 }
 
@@ -80,20 +82,14 @@
 	}
 }
 
-// forward passes a part to the library's parser. Each piece of a body becomes a chunk,
-// also if the caller gave a Content-Length, so that the parser doesn't wait for more.
+// forward passes a part to the library's parser, except bodies, which are kept here: the
+// parser gets an empty body in chunks.
 func (c *conn) forward(part framing.Part) error {
 	switch part.Kind {
 	case framing.Head:
 		return c.forwardHead(part)
 	case framing.Body:
-		if c.length == framing.UnknownLength {
-			if err := c.reserveBody(int64(len(part.Bytes))); err != nil {
-				return err
-			}
-		}
-		size := strconv.AppendInt(make([]byte, 0, 16), int64(len(part.Bytes)), 16)
-		return c.parse(append(size, crlf...), part.Bytes, crlf)
+		return c.appendBody(part.Bytes)
 	case framing.End:
 		if c.length != 0 {
 			return c.parse(lastChunk)
@@ -108,13 +104,11 @@
 	c.mu.Lock()
 	waiting := c.unanswered
 	c.mu.Unlock()
-	c.length = part.Length
-	if part.Length > 0 {
-		// Room for the whole body is reserved at once, so that bodies that arrive at
-		// the same time don't all fail half way.
-		if err := c.reserveBody(part.Length); err != nil {
-			return err
-		}
+	if err := c.reserve(requestBytes + parsedHeads*int64(len(part.Bytes))); err != nil {
+		return err
+	}
+	if err := c.beginBody(part.Length); err != nil {
+		return err
 	}
 	if part.Length != 0 {
 		_ = c.SetReadDeadline(time.Now().Add(c.bodyTimeLimit(part.Length)))
@@ -156,7 +150,7 @@
 	return true
 }
 
-// endReading updates the state after data was processed. It sets headTimeout when the
+// endReading updates the state after data was processed. It sets the head timeout when the
 // first bytes of an incomplete head have arrived, and the idle timeout between requests.
 func (c *conn) endReading() {
 	idle := c.framer.Idle()
@@ -164,9 +158,12 @@
 	c.reading = (!idle || len(c.held) > 0) && !c.refused
 	c.partialHead = c.reading && !idle && c.length == 0
 	waiting := c.unanswered > 0
+	if !c.partialHead {
+		c.quietSince = time.Now()
+	}
 	c.mu.Unlock()
 	if !idle && !c.refused && !waiting && c.length == 0 && !c.inHead {
-		_ = c.SetReadDeadline(time.Now().Add(headTimeout))
+		_ = c.SetReadDeadline(time.Now().Add(c.listener.headTimeout()))
 	}
 	c.inHead = !idle && c.length == 0
 	if idle && !waiting {
@@ -185,6 +182,9 @@
 	if c.length > 0 {
 		r.Header.Set("Content-Length", strconv.FormatInt(c.length, 10))
 	}
+	if c.length != 0 {
+		r.Body = c.endBody()
+	}
 	c.length = 0
 	r.Header.Del("Host")
 	r.URL.Host = ""
@@ -192,7 +192,7 @@
 	defer c.deadlineMu.Unlock()
 	c.mu.Lock()
 	c.unanswered++
-	c.completeBody()
+	c.completeRequest()
 	c.mu.Unlock()
 	_ = c.SetReadDeadline(time.Time{})
 }
--- a/caller/listener/listener.go
+++ b/caller/listener/listener.go
@@ -30,9 +30,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
+
+	"berylpass/caller/memory/holder"
 )
 
 // Defaults of the options. Sizes are in bytes.
@@ -42,6 +45,8 @@
 	DefaultMaxTotalBody   = 128 << 20
 	DefaultMaxConnections = 20_000
 	DefaultIdleTimeout    = 75 * time.Second
+	// DefaultHeadTimeout is the longest time from the first byte of a head to its end.
+	DefaultHeadTimeout = 10 * time.Second
 	// DefaultShutdownGrace is how long Shutdown leaves idle connections open, so
 	// that a request on its way on one of them is still answered.
 	DefaultShutdownGrace = time.Second
@@ -53,7 +58,6 @@
 // Listener serves callers on one address. It is safe for concurrent use.
 type Listener struct {
 	settings settings
-	bodies   bodyBudget
 	handler  http.Handler
 	engine   *engine
 	tcp      *net.TCPListener
@@ -61,6 +65,9 @@
 	cancel   context.CancelFunc
 	accepter sync.WaitGroup
 
+	// head and idle are the timeouts in force, as durations.
+	head, idle atomic.Int64
+
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
@@ -98,7 +105,10 @@
 	for _, option := range options {
 		option(&l.settings)
 	}
-	l.bodies.limit = l.settings.maxBodies
+	if l.settings.memory == nil {
+		l.settings.memory = holder.NewBook(wholeFor(DefaultMaxTotalBody))
+	}
+	l.SetTimeouts(l.settings.headTimeout, l.settings.idleTimeout)
 	l.base, l.cancel = context.WithCancel(context.Background())
 	l.accepter.Go(l.accept)
 	return l, nil
@@ -107,6 +117,17 @@
 // Address returns the address, host:port, on which the listener accepts connections.
 func (l *Listener) Address() string { return l.tcp.Addr().String() }
 
+// SetTimeouts sets how long a head may take from its first byte to its end, and how long a
+// connection stays open without a request. Timers that run already aren't changed.
+func (l *Listener) SetTimeouts(head, idle time.Duration) {
+	l.head.Store(int64(head))
+	l.idle.Store(int64(idle))
+}
+
+func (l *Listener) headTimeout() time.Duration { return time.Duration(l.head.Load()) }
+
+func (l *Listener) idleTimeout() time.Duration { return time.Duration(l.idle.Load()) }
+
 // Connections returns the number of open connections.
 func (l *Listener) Connections() int {
 	l.mu.Lock()
@@ -137,27 +158,39 @@
 		return
 	}
 	c := newConn(l, nbc)
-	if !l.track(c) {
+	evicted, ok := l.track(c)
+	if evicted != nil {
+		l.settings.onEvicted()
+		evicted.abort()
+	}
+	if !ok {
+		c.holder.Leave()
 		_ = nbc.Close()
 		return
 	}
 	if err := l.engine.add(c); err != nil {
+		c.holder.Leave()
 		l.untrack(c)
 		return
 	}
 	c.expectRequest()
 }
 
-// track adds c to the open connections. It returns false if the listener is closed or
-// has the maximum number of connections.
-func (l *Listener) track(c *conn) bool {
+// track adds c to the open connections. If there are as many as there may be, it takes the place of a
+// quiet one, which the caller of track then closes. It returns false if there is none, or if the listener is closed.
+func (l *Listener) track(c *conn) (evicted *conn, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed || len(l.conns) >= l.settings.maxConnections {
-		return false
+	if l.closed {
+		return nil, false
+	}
+	if len(l.conns) >= l.settings.maxConnections {
+		if evicted = l.evict(); evicted == nil {
+			return nil, false
+		}
 	}
 	l.conns[c] = struct{}{}
-	return true
+	return evicted, true
 }
 
 func (l *Listener) untrack(c *conn) {
--- a/caller/listener/listener_test.go
+++ b/caller/listener/listener_test.go
@@ -9,10 +9,16 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"berylpass/caller/memory"
+	"berylpass/caller/memory/holder"
 )
 
 const testTimeout = 10 * time.Second
@@ -372,20 +378,84 @@
 	}
 }
 
+// TestConnectionsOverLimitAreClosed checks that a connection over the limit is closed while all others have requests.
 func TestConnectionsOverLimitAreClosed(t *testing.T) {
-	release := make(chan struct{})
+	started, release := make(chan struct{}, 2*maxPipelined), make(chan struct{})
 	defer close(release)
-	l := start(t, func(http.ResponseWriter, *http.Request) { <-release }, WithMaxConnections(1))
+	l := start(t, func(http.ResponseWriter, *http.Request) { started <- struct{}{}; <-release }, WithMaxConnections(1))
 	first := dial(t, l)
 	io.WriteString(first, strings.Repeat(get("/"), maxPipelined+1))
-	for l.Connections() == 0 {
-		runtime.Gosched()
-	}
+	<-started
 	if _, err := io.ReadAll(dial(t, l)); err != nil && !errors.Is(err, net.ErrClosed) && !strings.Contains(err.Error(), "reset") {
 		t.Errorf("second connection: %v", err)
 	}
 }
 
+// TestConnectionOverLimitTakesThePlaceOfAQuietOne checks that of two connections without a request the one that has
+// been quiet for longer is closed for a third, also if it has sent a part of a head.
+func TestConnectionOverLimitTakesThePlaceOfAQuietOne(t *testing.T) {
+	var evicted atomic.Int64
+	l := start(t, echo, WithMaxConnections(2), WithEvictionHandler(func() { evicted.Add(1) }))
+	first := dial(t, l)
+	io.WriteString(first, "GET / HT")
+	for l.Connections() < 1 {
+		runtime.Gosched()
+	}
+	second := dial(t, l)
+	in := bufio.NewReader(second)
+	io.WriteString(second, get("/"))
+	readResponse(t, in, "GET")
+	third := dial(t, l)
+	io.WriteString(third, get("/"))
+	readResponse(t, bufio.NewReader(third), "GET")
+	if _, err := first.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("first connection: %v, want it closed", err)
+	}
+	io.WriteString(second, get("/"))
+	readResponse(t, in, "GET")
+	if evicted.Load() != 1 {
+		t.Errorf("%d connections were evicted, want 1", evicted.Load())
+	}
+}
+
+// TestAnswerThatNobodyReadsGivesWay checks that a connection that reads nothing of its answer is closed when another
+// request needs the memory, and that one that reads isn't.
+func TestAnswerThatNobodyReadsGivesWay(t *testing.T) {
+	const size = 12 << 20
+	l := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if holder.Reserve(r.Context(), size) != nil {
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		w.Write(make([]byte, size))
+	}, WithMaxTotalBody(size+size/2))
+	first := dial(t, l)
+	io.WriteString(first, get("/"))
+	second := dial(t, l)
+	for l.settings.memory.Used(memory.Exchanges) < size {
+		runtime.Gosched()
+	}
+	io.WriteString(second, get("/"))
+	if response, body := readResponse(t, bufio.NewReader(second), "GET"); response.StatusCode != http.StatusOK || len(body) != size {
+		t.Errorf("got status %d with %d bytes", response.StatusCode, len(body))
+	}
+	if n, err := io.Copy(io.Discard, first); n >= size || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the first connection read %d bytes of an answer that should have been given up, %v", n, err)
+	}
+	awaitNoReservations(t, l)
+}
+
+// TestTimeoutsCanChange checks that a changed timeout for heads is in force for the next head.
+func TestTimeoutsCanChange(t *testing.T) {
+	l := start(t, echo)
+	l.SetTimeouts(50*time.Millisecond, time.Hour)
+	conn := dial(t, l)
+	io.WriteString(conn, "GET / HTTP/1.1\r\nHo")
+	if _, err := conn.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %v, want the connection closed", err)
+	}
+}
+
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	l := start(t, echo, WithIdleTimeout(50*time.Millisecond))
 	conn := dial(t, l)
--- a/caller/listener/option.go
+++ b/caller/listener/option.go
@@ -6,6 +6,9 @@
 	"time"
 
 	nbtls "github.com/lesismal/llib/std/crypto/tls"
+
+	"berylpass/caller/memory"
+	"berylpass/caller/memory/holder"
 )
 
 // Refusal returns the headers and the body of the response to a request that was
@@ -16,25 +19,28 @@
 type settings struct {
 	maxHeader      int
 	maxBody        int64
-	maxBodies      int64
+	memory         *holder.Book
 	maxConnections int
+	headTimeout    time.Duration
 	idleTimeout    time.Duration
 	shutdownGrace  time.Duration
 	tls            *nbtls.Config
 	refusal        Refusal
 	onPanic        func(value any, stack []byte)
+	onEvicted      func()
 }
 
 func defaults() settings {
 	return settings{
 		maxHeader:      DefaultMaxHeader,
 		maxBody:        DefaultMaxBody,
-		maxBodies:      DefaultMaxTotalBody,
 		maxConnections: DefaultMaxConnections,
+		headTimeout:    DefaultHeadTimeout,
 		idleTimeout:    DefaultIdleTimeout,
 		shutdownGrace:  DefaultShutdownGrace,
 		refusal:        plainRefusal,
 		onPanic:        func(any, []byte) {},
+		onEvicted:      func() {},
 	}
 }
 
@@ -47,18 +53,37 @@
 // WithMaxBody sets the maximum length of a request's body, in bytes.
 func WithMaxBody(bytes int64) Option { return func(s *settings) { s.maxBody = bytes } }
 
-// WithMaxTotalBody sets the maximum total length, in bytes, of all bodies that are being
-// read or belong to unanswered requests. A request whose body would exceed it is
-// refused with status 503.
-func WithMaxTotalBody(bytes int64) Option { return func(s *settings) { s.maxBodies = bytes } }
+// WithMaxTotalBody sets the maximum memory, in bytes, of all requests that are being read or
+// unanswered, and of responses that are queued. A request that would exceed it is refused with
+// status 503.
+func WithMaxTotalBody(bytes int64) Option {
+	return func(s *settings) { s.memory = holder.NewBook(wholeFor(bytes)) }
+}
+
+// wholeFor returns parts that a listener with a memory of its own uses as a whole.
+func wholeFor(bytes int64) memory.Parts {
+	return memory.Parts{Heads: bytes, Exchanges: bytes, Long: bytes}
+}
+
+// WithMemory makes the listener share the memory of a book with others.
+func WithMemory(book *holder.Book) Option { return func(s *settings) { s.memory = book } }
+
+// WithEvictionHandler sets a function that is called when a connection without a request was
+// closed to make room for another. It must not block.
+func WithEvictionHandler(onEvicted func()) Option {
+	return func(s *settings) { s.onEvicted = onEvicted }
+}
 
-// WithMaxConnections sets the maximum number of open connections. Further ones are
-// closed as soon as they are accepted.
+// WithMaxConnections sets the maximum number of open connections. A further one takes the place
+// of one without a request; if there is none, it is closed as soon as it is accepted.
 func WithMaxConnections(n int) Option { return func(s *settings) { s.maxConnections = n } }
 
 // WithIdleTimeout sets how long a connection stays open without a request.
 func WithIdleTimeout(d time.Duration) Option { return func(s *settings) { s.idleTimeout = d } }
 
+// WithHeadTimeout sets how long a head may take from its first byte to its end.
+func WithHeadTimeout(d time.Duration) Option { return func(s *settings) { s.headTimeout = d } }
+
 // WithShutdownGrace sets how long Shutdown leaves idle connections open.
 func WithShutdownGrace(d time.Duration) Option { return func(s *settings) { s.shutdownGrace = d } }
 
--- a/caller/listener/pipeline_test.go
+++ b/caller/listener/pipeline_test.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"berylpass/caller/memory"
 )
 
 func post(path string) string {
@@ -111,9 +113,8 @@
 	if most.Load() > maxPipelined {
 		t.Errorf("%d requests of one connection ran at once, want at most %d", most.Load(), maxPipelined)
 	}
-	if held := l.bodies.reserved.Load(); held != 0 {
-		t.Errorf("%d bytes are still reserved after all responses", held)
-	}
+	// A request is released after its response has been sent.
+	awaitNoReservations(t, l)
 }
 
 // TestPipelinedBytesAreBounded checks that a connection that sends without end while its first request runs is
@@ -139,8 +140,10 @@
 			t.Fatal("the connection is not refused")
 		}
 	}
-	if held := l.bodies.reserved.Load(); held != 0 {
-		t.Errorf("%d bytes are reserved for a connection that was refused", held)
+	// The requests that have started stay reserved; what is held behind them must not.
+	started := maxPipelined * (requestBytes + parsedHeads*int64(len(get("/"))))
+	if reserved := l.settings.memory.Used(memory.Exchanges); reserved != started {
+		t.Errorf("%d bytes are reserved for a connection that was refused, want %d", reserved, started)
 	}
 	close(release)
 	in := bufio.NewReader(conn)
--- a/caller/listener/serve.go
+++ b/caller/listener/serve.go
@@ -5,6 +5,9 @@
 	"errors"
 	"net/http"
 	"runtime/debug"
+	"time"
+
+	"berylpass/caller/memory/holder"
 )
 
 // serve starts the handler of a request. It returns at once if the method is safe, so that the safe requests behind it
@@ -21,9 +24,11 @@
 	}
 	// The library reuses r after serve has returned.
 	ctx, cancel := context.WithCancel(c.ctx)
-	request := r.WithContext(ctx)
+	reserved := c.holder.NewRequest()
+	request := r.WithContext(holder.WithRequest(ctx, reserved))
 	handle := func() {
 		defer l.endHandler()
+		defer reserved.End()
 		defer cancel()
 		l.handle(c, turn, request)
 	}
@@ -90,7 +95,8 @@
 func (c *conn) answered() {
 	c.mu.Lock()
 	c.unanswered--
-	c.releaseBody()
+	c.quietSince = time.Now()
+	c.releaseRequest()
 	c.mu.Unlock()
 	c.resume()
 	c.expectRequest()
--- a/caller/listener/writer.go
+++ b/caller/listener/writer.go
@@ -79,12 +79,20 @@
 	if w.headOnly {
 		return len(p), nil
 	}
-	w.append(p)
-	if w.buffer.Len() < maxBuffered || !w.http11 && w.length == unknownLength {
-		return len(p), nil
-	}
-	if err := w.flush(); err != nil {
-		return 0, err
+	for rest := p; len(rest) > 0; {
+		room := maxBuffered - w.buffer.Len()
+		if room <= 0 {
+			room = maxBuffered
+		}
+		piece := rest[:min(len(rest), room)]
+		rest = rest[len(piece):]
+		w.append(piece)
+		if w.buffer.Len() < maxBuffered || !w.http11 && w.length == unknownLength {
+			continue
+		}
+		if err := w.flush(); err != nil {
+			return 0, err
+		}
 	}
 	return len(p), nil
 }
@@ -105,6 +113,7 @@
 	if err := w.turn.await(); err != nil {
 		return err
 	}
+	w.announce()
 	if !w.headSent {
 		body := bytes.Clone(w.buffer.Bytes())
 		w.buffer.Reset()
@@ -114,11 +123,24 @@
 	if err := w.conn.awaitWritable(); err != nil {
 		return err
 	}
+	if err := w.conn.reserveUnsent(w.buffer.Len()); err != nil {
+		return err
+	}
 	_, err := w.conn.Write(w.buffer.Bytes())
 	w.buffer.Reset()
 	return err
 }
 
+// announce tells the memory what the caller has to read from now on: the whole body if its length is known.
+func (w *writer) announce() {
+	switch {
+	case w.length == unknownLength || w.headOnly:
+		w.conn.holder.Due(int64(w.buffer.Len()))
+	case !w.headSent:
+		w.conn.holder.Due(w.length)
+	}
+}
+
 // writeHead writes the head into the buffer, which must be empty.
 func (w *writer) writeHead() {
 	w.headSent = true
--- a/config/settings/machine.go
+++ b/config/settings/machine.go
@@ -13,7 +13,7 @@
 )
 
 var memoryField = unfilledAllowed(field.Size("memory", minMemory, 1<<40, func(s *Settings) *int64 { return &s.Limits.Memory })).
-	WithMeaning("Memory that the daemon may use. It keeps requests and answers within it; without it, half of the VM's memory.")
+	WithMeaning("Memory that the daemon may use. It keeps requests and answers within it; without it, 256 MiB or half of the VM's memory, whichever is less.")
 
 var descriptorsField = unfilledAllowed(field.Integer("descriptors", minDescriptors, 1000000, func(s *Settings) *int { return &s.Limits.Descriptors })).
 	WithMeaning("File descriptors that the daemon may use; without it, the process's limit. Callers' connections take at most three quarters of them.")
--- a/config/settings/table.go
+++ b/config/settings/table.go
@@ -82,7 +82,7 @@
 	}},
 	{"limits", field.Table[Settings]{
 		field.Size("max-body", 1<<10, 1<<30, func(s *Settings) *int64 { return &s.Limits.MaxBody }).
-			WithDefault("32MiB").WithMeaning("Largest body of a request or an answer."),
+			WithDefault("64MiB").WithMeaning("Largest body of a request or an answer."),
 		field.Size("max-header", 1<<10, 1<<20, func(s *Settings) *int64 { return &s.Limits.MaxHeader }).
 			WithDefault("32KiB").WithMeaning("Largest header of a request or an answer."),
 		field.Integer("queue-per-backend", 1, 100000, func(s *Settings) *int { return &s.Limits.QueuePerBackend }).
--- a/config/snapshot/snapshot.go
+++ b/config/snapshot/snapshot.go
@@ -42,6 +42,8 @@
 	Datacentres   map[string]datacentre.Datacentre
 	// IdleTimeout is how long a caller's connection stays open without a request; 0 means the default.
 	IdleTimeout time.Duration
+	// HeadTimeout is how long a caller may take to send the head of a request; 0 means the default.
+	HeadTimeout time.Duration
 
 	index *index
 }
@@ -101,6 +103,12 @@
 	return s
 }
 
+// WithHeadTimeout returns a copy with d as the time that a caller may take to send a head.
+func (s Snapshot) WithHeadTimeout(d time.Duration) Snapshot {
+	s.HeadTimeout = d
+	return s
+}
+
 // WithOutOfService returns a copy in which the named data centres are out of service and
 // all others in service.
 func (s Snapshot) WithOutOfService(names []string) Snapshot {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"berylpass/caller/listener"
+	"berylpass/caller/memory/holder"
 	"berylpass/choice/chooser"
 	"berylpass/config/revision"
 	"berylpass/config/settings"
@@ -78,6 +79,10 @@
 	startedIngress atomic.Pointer[ingress.Ingress]
 
 	callers, data, backends, operators *listener.Listener
+	// startedCallers is callers once that exists, nil before.
+	startedCallers atomic.Pointer[listener.Listener]
+	// memory is shared by all ports.
+	memory *holder.Book
 
 	// closers close the started parts, the last started first.
 	closers []func()
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -211,7 +211,7 @@
 	if d.settings.Listen.Readiness == "" {
 		return nil
 	}
-	l, err := listener.New(d.settings.Listen.Readiness, readiness.New(func() error { return d.Ready(d.clock()) }))
+	l, err := listener.New(d.settings.Listen.Readiness, readiness.New(func() error { return d.Ready(d.clock()) }), listener.WithMemory(d.memory))
 	if err != nil {
 		return err
 	}
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -39,6 +39,7 @@
 // start starts the parts in the order of their dependencies. If it fails, Close
 // closes the parts that have been started.
 func (d *Daemon) start() error {
+	d.startMemory()
 	if err := d.startMesh(); err != nil {
 		return trace.Wrap(err)
 	}
@@ -120,6 +121,7 @@
 		listener.WithTLS(d.meshKey.NonBlockingServerTLS()),
 		listener.WithMaxBody(d.settings.Limits.MaxBody),
 		listener.WithMaxHeader(2*int(d.settings.Limits.MaxHeader)),
+		listener.WithMemory(d.memory),
 		listener.WithPanicHandler(d.logPanic))
 	if err != nil {
 		return trace.Wrap(err)
@@ -194,11 +196,11 @@
 }
 
 func (d *Daemon) startPorts() (err error) {
-	if d.backends, err = listener.New(d.settings.Listen.Backends, d.announcementHandler()); err != nil {
+	if d.backends, err = listener.New(d.settings.Listen.Backends, d.announcementHandler(), listener.WithMemory(d.memory)); err != nil {
 		return trace.Wrap(err)
 	}
 	d.onClose(d.backends.Close)
-	if d.operators, err = listener.New(d.settings.Listen.Operators, d.operatorHandler()); err != nil {
+	if d.operators, err = listener.New(d.settings.Listen.Operators, d.operatorHandler(), listener.WithMemory(d.memory)); err != nil {
 		return trace.Wrap(err)
 	}
 	d.onClose(d.operators.Close)
@@ -210,6 +212,8 @@
 		return trace.Wrap(err)
 	}
 	d.onClose(d.callers.Close)
+	d.startedCallers.Store(d.callers)
+	d.applyTimeouts(d.configuration.Current())
 	if err := d.startReadiness(); err != nil {
 		return trace.Wrap(err)
 	}
@@ -221,7 +225,9 @@
 	options := []listener.Option{
 		listener.WithMaxBody(d.settings.Limits.MaxBody),
 		listener.WithMaxHeader(int(d.settings.Limits.MaxHeader)),
-		listener.WithMaxConnections(d.settings.Limits.CallerConnections),
+		listener.WithMaxConnections(callerConnections(d.settings.Limits)),
+		listener.WithMemory(d.memory),
+		listener.WithEvictionHandler(d.connectionEvicted),
 		listener.WithRefusal(d.refuse),
 		listener.WithPanicHandler(d.logPanic),
 	}
@@ -343,4 +349,5 @@
 	d.chooser.SetConfiguration(s)
 	d.limits.SetConfiguration(s)
 	d.limits.UpdateMembers()
+	d.applyTimeouts(s)
 }
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -5,8 +5,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
+	"berylpass/caller/body"
+	"berylpass/caller/memory/holder"
 	"berylpass/choice/gate"
 	"berylpass/choice/verdict"
 	"berylpass/hop"
@@ -31,7 +34,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
+	whole, err := body.Read(r)
 	if err != nil {
 		return
 	}
@@ -40,7 +43,7 @@
 		Target: r.URL.RequestURI(),
 		Host:   r.Host,
 		Header: r.Header,
-		Body:   body,
+		Body:   whole,
 	}
 	answer, report := g.Run(r.Context(), envelope, request)
 	write(w, answer, report)
@@ -95,6 +98,9 @@
 	r.NotAfter = token.expires
 	// Configuration and backend server may have changed until the connection is established.
 	r.BeforeSend = func() error { return g.start(g.Clock(), a.envelope) }
+	r.ReadBody = func(body io.Reader, length, limit int64) ([]byte, error) {
+		return holder.ReadAll(ctx, body, length, limit)
+	}
 	r.Instance, r.Organisation, r.CallerService = string(a.envelope.Backend), a.envelope.Organisation, a.envelope.CallerService
 	answer, err := g.Leg.Run(ctx, g.address(a.envelope), r)
 	res := resultOfRun(answer, err)
@@ -151,7 +157,7 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return verdict.Timeout
-	case ctx.Err() != nil, errors.Is(err, errNotStarted):
+	case ctx.Err() != nil, errors.Is(err, errNotStarted), errors.Is(err, holder.ErrFull):
 		return verdict.Cancelled
 	case res.reason == ReasonShed:
 		return verdict.Shed
@@ -174,6 +180,9 @@
 		}
 	}
 	report.Write(w.Header())
+	if len(answer.Body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
 	w.WriteHeader(status)
 	if report.Ending == hop.Ran {
 		_, _ = w.Write(answer.Body)
--- a/hop/forwarder/forwarder.go
+++ b/hop/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 	"sync/atomic"
 	"time"
 
+	"berylpass/caller/memory/holder"
 	"berylpass/hop"
 	"berylpass/mesh/link"
 )
@@ -175,12 +176,16 @@
 	if report.Attempt != e.Attempt {
 		return Answer{}, ErrMismatch
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, f.maxAnswerBytes+1))
-	if err != nil {
-		return Answer{}, fmt.Errorf("%w: %w", ErrAnswerLost, err)
+	length := response.ContentLength
+	if response.Body == http.NoBody {
+		length = 0
 	}
-	if int64(len(body)) > f.maxAnswerBytes {
+	body, err := holder.ReadAll(response.Request.Context(), response.Body, length, f.maxAnswerBytes)
+	if errors.Is(err, io.ErrShortBuffer) {
 		return Answer{}, fmt.Errorf("%w: answer exceeds %d bytes", ErrAnswerLost, f.maxAnswerBytes)
 	}
+	if err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrAnswerLost, err)
+	}
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Report: report}, nil
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"berylpass/attempt/lifecycle"
+	"berylpass/caller/memory/holder"
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
 	"berylpass/choice/verdict"
@@ -182,6 +183,8 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return verdict.Timeout
+	case errors.Is(err, holder.ErrFull):
+		return verdict.Cancelled
 	case err != nil:
 		return verdict.PathFailure
 	case s.answer.Report.Ending == hop.NotRun && s.answer.Report.Reason == guard.ReasonNotSent:
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -11,15 +11,16 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"berylpass/attempt/clock"
 	"berylpass/attempt/id"
 	"berylpass/attempt/lifecycle"
+	"berylpass/caller/body"
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
 	"berylpass/choice/verdict"
@@ -263,7 +264,7 @@
 	if targetContainsKey(r.URL, info.Key) {
 		return x, errKeyInURL
 	}
-	body, err := io.ReadAll(r.Body)
+	whole, err := body.Read(r)
 	if err != nil {
 		return x, errBody
 	}
@@ -272,7 +273,7 @@
 		Target: r.URL.RequestURI(),
 		Host:   r.Host,
 		Header: i.Dialect.ToGuard(r.Header, info),
-		Body:   body,
+		Body:   whole,
 	}
 	return x, nil
 }
@@ -316,6 +317,10 @@
 	i.Observer.Ended(i.Clock(), x.record(end))
 	i.recordFailedCall(x, end.status)
 	if end.outcome == Answered {
+		// With its length the answer is sent as it is, without a copy of it.
+		if n := len(end.answer.Body); n > 0 {
+			w.Header().Set("Content-Length", strconv.Itoa(n))
+		}
 		i.Dialect.WriteAnswer(w, end.answer, end.attempt.String())
 		return
 	}
--- a/leg/exchange.go
+++ b/leg/exchange.go
@@ -14,6 +14,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"berylpass/caller/memory/holder"
 )
 
 const (
@@ -129,7 +131,7 @@
 			continue
 		}
 		reading := l.dialect.Read(r, response.StatusCode, response.Header)
-		body, err := l.readBody(r.Method, response)
+		body, err := l.readBody(r, response)
 		if err != nil {
 			return Answer{}, false, err
 		}
@@ -178,8 +180,8 @@
 
 // readBody returns the whole body of an answer of at most l.maxAnswer bytes. Its errors are
 // ErrUnframed, ErrTooLarge and those of reading.
-func (l *Leg) readBody(method string, response *http.Response) ([]byte, error) {
-	if !hasBody(method, response.StatusCode) {
+func (l *Leg) readBody(r Request, response *http.Response) ([]byte, error) {
+	if !hasBody(r.Method, response.StatusCode) {
 		return nil, nil
 	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !l.dialect.AllowsCloseDelimited() {
@@ -188,19 +190,17 @@
 	if response.ContentLength > l.maxAnswer {
 		return nil, ErrTooLarge
 	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, l.maxAnswer+1))
-	if err != nil {
-		return nil, err
+	read := r.ReadBody
+	if read == nil {
+		read = func(body io.Reader, length, limit int64) ([]byte, error) {
+			return holder.ReadAll(context.Background(), body, length, limit)
+		}
 	}
-	if int64(len(body)) > l.maxAnswer {
+	body, err := read(response.Body, response.ContentLength, l.maxAnswer)
+	if errors.Is(err, io.ErrShortBuffer) {
 		return nil, ErrTooLarge
 	}
-	return body, nil
+	return body, err
 }
 
 // hasBody reports whether an answer with the status to a request with the method has a body.
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -30,6 +30,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -75,6 +76,9 @@
 	// BeforeSend, if not nil, is called once the connection is established, right before the
 	// first byte is written. If it returns an error, the request is not sent.
 	BeforeSend func() error
+	// ReadBody, if not nil, reads the body of the answer. The length is negative if it is not
+	// known. It returns io.ErrShortBuffer for a body of more than limit bytes.
+	ReadBody func(body io.Reader, length, limit int64) ([]byte, error)
 	// Instance is the ID of the backend server that must run the request, empty for any.
 	Instance string
 	// Organisation is the organisation whose key came with the request, empty if the request
--- a/monitor/event/catalogue.go
+++ b/monitor/event/catalogue.go
@@ -44,7 +44,11 @@
 	RequestEnded     = info(3301, "request-ended", "The ingress has answered a caller's request; the fields give the outcome, its reason and the number of attempts.")
 	AttemptEnded     = info(3302, "attempt-ended", "An attempt that the ingress sent to a guard has ended.")
 	AttemptServed    = info(3303, "attempt-served", "The guard has ended an attempt: it ran, was refused as not run, or its outcome is unknown.")
-	CallerRefused    = info(3201, "caller-refused", "A malformed request was refused; the reason field says why.")
+	// Memory for requests and answers.
+	LaggardClosed     = info(3311, "laggard-closed", "A connection was closed to make room in memory: of all that were behind the least pace, it was the farthest behind, or it had the longest unfinished head.")
+	MemoryFull        = info(3312, "memory-full", "A request was refused as not run because there is no memory for it; the bytes field says how much it needs.")
+	ConnectionEvicted = info(3313, "connection-evicted", "A caller's connection without a request was closed to make room for another, since as many are open as may be.")
+	CallerRefused     = info(3201, "caller-refused", "A malformed request was refused; the reason field says why.")
 )
 
 // Choice of backend servers.
--- a/operate/process/serve.go
+++ b/operate/process/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -48,6 +49,7 @@
 	defer stop()
 	hangup, stopHangups := reloadSignals()
 	defer stopHangups()
+	debug.SetMemoryLimit(daemon.MemoryParts(s.Limits).Runtime)
 	d, err := daemon.New(s, logger)
 	if err != nil {
 		event.Failed.Log(&logger).Err(err).Str("trace", trace.DebugReport(err)).Send()
