--- a/choice/chooser/chooser.go
+++ b/choice/chooser/chooser.go
@@ -23,6 +23,7 @@
 	"berylpass/attempt/id"
 	"berylpass/choice/picker"
 	"berylpass/choice/report"
+	"berylpass/choice/spill"
 	"berylpass/choice/verdict"
 	"berylpass/config/class"
 	"berylpass/config/snapshot"
@@ -186,6 +187,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	chosen, err := c.picker.PickFor(now, r)
+	return c.target(r, chosen, err)
+}
+
+// PickHedge returns a backend server for a hedged request. Its error wraps picker.ErrNoBackend.
+func (c *Chooser) PickHedge(r picker.Request) (Target, error) {
+	now := c.options.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	chosen, err := c.picker.PickHedge(now, r)
+	return c.target(r, chosen, err)
+}
+
+// HedgeDelay returns the time after which a request of a service and class is hedged. It reports false if that is
+// unknown.
+func (c *Chooser) HedgeDelay(service string, of class.Class) (time.Duration, bool) {
+	now := c.options.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.picker.HedgeDelay(now, service, of)
+}
+
+// target returns the target of what the picker chose for r, or its error. The caller must hold c.mu.
+func (c *Chooser) target(r picker.Request, chosen backend.ID, err error) (Target, error) {
 	if err != nil {
 		return Target{}, err
 	}
@@ -194,7 +218,7 @@
 		return Target{}, fmt.Errorf("%w: backend server %q has just left", picker.ErrNoBackend, chosen)
 	}
 	t.Forced, t.TrialOnly = c.picker.Forced(chosen), c.picker.TrialOnly(chosen)
-	t.HasOther = c.picker.HasOther(r.Service, r.Exclude, chosen)
+	t.HasOther = c.picker.HasOther(r, chosen)
 	return t, nil
 }
 
@@ -230,6 +254,21 @@
 	return c.picker.Status(c.options.Clock())
 }
 
+// SetSpillRate sets the bytes a second that requests of this ingress may use between regions.
+func (c *Chooser) SetSpillRate(bytesPerSecond float64) {
+	now := c.options.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.picker.SetSpillRate(now, bytesPerSecond)
+}
+
+// Spilled returns what has left the region since the start, and the state of each service; see picker.Picker.Spilled.
+func (c *Chooser) Spilled() (spill.Counts, []picker.RegionStatus) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.picker.Spilled(c.options.Clock())
+}
+
 // updateTarget passes the state of a target to the picker. The caller must hold c.mu.
 func (c *Chooser) updateTarget(now time.Time, t Target) {
 	region, own := c.snapshot.Datacentres[t.Guard.Datacentre].Region, c.snapshot.Datacentres[c.options.Self.Datacentre].Region
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -32,6 +32,7 @@
 	// Owners are the trusted public keys by the owner's name; none in the platform's dialect.
 	Owners   map[string]ed25519.PublicKey
 	Limits   Limits
+	Regions  Regions
 	Shutdown Shutdown
 	TLS      TLS
 	Log      Log
@@ -89,6 +90,9 @@
 	// save up for a service.
 	RetryShare float64
 	RetrySlack int
+	// HedgeShare is the extra work that hedged requests may put on a service's backend servers,
+	// as a share from 0 to 1 of the service's work; 0 for no hedges.
+	HedgeShare float64
 	// LimitOvershoot is the share, and LimitSlack the number, by which the requests that
 	// the whole fleet runs for an organisation may exceed its limit.
 	LimitOvershoot float64
@@ -101,6 +105,21 @@
 	Descriptors int
 }
 
+// Regions is the section [regions]: what requests may use of the link between two regions. It has no effect in a
+// fleet with one region.
+type Regions struct {
+	// LinkRate is the capacity of the link in each direction, in Mbit/s. SpillShare is the share of it, from 0 to 1, that
+	// requests of all daemons of a region may use together.
+	LinkRate   float64
+	SpillShare float64
+}
+
+// SpillRate returns the bytes a second that requests of all daemons of a region may use together.
+func (r Regions) SpillRate() float64 { return r.LinkRate * r.SpillShare * bytesPerMegabit }
+
+// bytesPerMegabit is the number of bytes in 1 Mbit.
+const bytesPerMegabit = 1e6 / 8
+
 // Shutdown is the section [shutdown]. Grace is how long requests in flight may go on after
 // SIGTERM, less Reserve, the last part of it in which the daemon must have ended.
 type Shutdown struct{ Grace, Reserve time.Duration }
--- a/config/settings/table.go
+++ b/config/settings/table.go
@@ -91,6 +91,8 @@
 			WithDefault("0.1").WithMeaning("Retries and hedges allowed, as a share of a service's requests."),
 		field.Integer("retry-slack", 0, 1000000, func(s *Settings) *int { return &s.Limits.RetrySlack }).
 			WithDefault("100").WithMeaning("Retries and hedges that the whole fleet may save up for a service."),
+		field.Share("hedge-share", func(s *Settings) *float64 { return &s.Limits.HedgeShare }).
+			WithDefault("0").WithMeaning("Extra work that hedges may put on a service's backend servers, as a share of the service's work; 0 for no hedges. Hedges count as retries too."),
 		field.Share("limit-overshoot", func(s *Settings) *float64 { return &s.Limits.LimitOvershoot }).
 			WithDefault("0").WithMeaning("Share by which the requests run for an organisation may exceed its rate and burst."),
 		field.Integer("limit-slack", 0, 1000000, func(s *Settings) *int { return &s.Limits.LimitSlack }).
@@ -99,6 +101,12 @@
 			WithDefault("20000").WithMeaning("Largest number of callers' connections open at once; further ones are closed."),
 		memoryField, descriptorsField,
 	}},
+	{"regions", field.Table[Settings]{
+		field.Number("link-rate", 0.1, 1e6, func(s *Settings) *float64 { return &s.Regions.LinkRate }).
+			WithDefault("50").WithMeaning("Capacity of the link between two regions in each direction, in Mbit/s."),
+		field.Share("spill-share", func(s *Settings) *float64 { return &s.Regions.SpillShare }).
+			WithDefault("0.25").WithMeaning("Share of that link that requests may use which their own region has no room for, those of all daemons of a region together."),
+	}},
 	{"shutdown", field.Table[Settings]{
 		field.Duration("grace", 0, time.Hour, func(s *Settings) *time.Duration { return &s.Shutdown.Grace }).
 			WithDefault("30s").WithMeaning("Time for requests in flight to end after SIGTERM, before the daemon exits anyway."),
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -107,6 +107,9 @@
 	options = append(options,
 		revision.WithProof(o, maxProofAge, uptime),
 		revision.WithOnStoreAnswered(func(since time.Time) { go d.members.StoreAnswered(since) }))
+	if d.regions() != nil {
+		options = append(options, revision.WithRegion(d.inSameRegion))
+	}
 	return revision.New(o, d.members, d.mesh, o, options...)
 }
 
@@ -149,7 +152,7 @@
 // own data centre, because traffic between data centres is expensive.
 func (d *Daemon) pickerOptions() []picker.Option {
 	if d.onPlatform() {
-		return []picker.Option{picker.WithLocalFirst()}
+		return append(d.regionOptions(), picker.WithLocalFirst())
 	}
 	return nil
 }
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -62,6 +62,7 @@
 		return trace.Wrap(err)
 	}
 	d.startMonitor()
+	d.startRegions()
 	return nil
 }
 
@@ -79,7 +80,7 @@
 		return trace.Wrap(err)
 	}
 	d.meshKey, d.directory = key, directory.New()
-	d.mesh, err = mesh.New(d.settings.Listen.Control, key, d.directory, mesh.WithPanicHandler(d.logCallPanic))
+	d.mesh, err = mesh.New(d.settings.Listen.Control, key, d.directory, mesh.WithPanicHandler(d.logCallPanic), mesh.WithTraffic(d.traffic))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -90,7 +91,7 @@
 // startGuard starts the limits, the chooser of backend servers and the guard.
 func (d *Daemon) startGuard(store *observed.Store) {
 	d.limits = enforcer.New(enforcer.Options{
-		Self: d.self.ID, Seed: d.self.Incarnation, Mesh: d.mesh, Fleet: &d.fleet, Clock: d.clock,
+		Self: d.self.ID, Seed: d.self.Incarnation, Mesh: d.mesh, Fleet: &d.fleet, Clock: d.clock, Regions: d.regions(),
 		HeardRevision: d.observer.HeardRevision,
 		TokenLifetime: d.tokenLifetime(), Slack: enforcer.Slack{Share: d.settings.Limits.LimitOvershoot, Requests: float64(d.settings.Limits.LimitSlack)},
 	})
@@ -100,6 +101,7 @@
 		Self: d.self, Seed: d.self.Incarnation, Clock: d.clock, Observer: d.observer, Prober: d.control, Picker: d.pickerOptions(),
 	})
 	d.onClose(d.chooser.Close)
+	d.updateSpillRate()
 	d.guard = guard.New(d.self, guard.Parts{
 		Configuration:  &d.configuration,
 		Leg:            d.newLeg(),
@@ -108,6 +110,7 @@
 		Departures:     d.newDepartures(store),
 		Clock:          d.clock,
 		MaxQueued:      d.settings.Limits.QueuePerBackend,
+		Precedence:     d.onPlatform(),
 		SilenceLimit:   d.silenceLimit(),
 		MayRepeatCall:  d.mayRepeatCall,
 		LastFailedCall: d.lastFailedCall,
@@ -135,6 +138,7 @@
 // startFleet joins the fleet and starts to follow the configuration.
 func (d *Daemon) startFleet(platform *client.Client, store *observed.Store, earlier membership.Start) {
 	options := append(d.membershipOptions(),
+		membership.WithRegions(d.regions()),
 		membership.WithSeeds(d.settings.Mesh.Seeds...),
 		membership.WithRandomSeed(d.self.Incarnation),
 		membership.WithOnMember(d.memberChanged),
@@ -152,7 +156,7 @@
 }
 
 func (d *Daemon) startIngress() {
-	d.forwarder = forwarder.New(d.meshKey.ClientTLS(), d.settings.Limits.MaxBody)
+	d.forwarder = forwarder.New(d.meshKey.ClientTLS(), d.settings.Limits.MaxBody, forwarder.WithTraffic(d.traffic))
 	d.ingress = ingress.New(d.self, ingress.Parts{
 		Configuration:     &d.configuration,
 		Chooser:           d.chooser,
@@ -165,7 +169,10 @@
 		OpenToAnyKey:      d.onPlatform(),
 		Service:           d.settings.Daemon.Service,
 		RetryBudget:       d.retries,
+		Hedges:            d.hedges(),
 		RepeatProbability: d.guard.RepeatProbability,
+		Ranked:            d.onPlatform(),
+		RankOfCall:        d.guard.RankOfCall,
 	})
 	d.startedIngress.Store(d.ingress)
 	d.onClose(d.forwarder.Close)
@@ -300,9 +307,10 @@
 	if changed.State == member.Dead {
 		delete(d.live, changed.ID)
 	} else {
-		d.live[changed.ID] = true
+		d.live[changed.ID] = changed.Datacentre
 	}
 	d.liveDaemons.Store(int64(len(d.live)))
+	d.updateSpillRate()
 }
 
 // incarnationRaised passes the daemon's new incarnation to the guard. The membership
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -98,9 +97,7 @@
 	r.NotAfter = token.expires
 	// Configuration and backend server may have changed until the connection is established.
 	r.BeforeSend = func() error { return g.start(g.Clock(), a.envelope) }
-	r.ReadBody = func(body io.Reader, length, limit int64) ([]byte, error) {
-		return holder.ReadAll(ctx, body, length, limit)
-	}
+	r.Reserve = func(bytes int64) error { return holder.Reserve(ctx, bytes) }
 	r.Instance, r.Organisation, r.CallerService = string(a.envelope.Backend), a.envelope.Organisation, a.envelope.CallerService
 	answer, err := g.Leg.Run(ctx, g.address(a.envelope), r)
 	res := resultOfRun(answer, err)
--- a/hop/forwarder/forwarder.go
+++ b/hop/forwarder/forwarder.go
@@ -23,8 +23,10 @@
 	"sync/atomic"
 	"time"
 
+	"berylpass/answer"
 	"berylpass/caller/memory/holder"
 	"berylpass/hop"
+	"berylpass/mesh/crossing"
 	"berylpass/mesh/link"
 )
 
@@ -85,9 +87,9 @@
 }
 
 // New returns a forwarder that accepts answers with bodies of up to maxAnswerBytes bytes.
-func New(config *tls.Config, maxAnswerBytes int64) *Forwarder {
+func New(config *tls.Config, maxAnswerBytes int64, options ...Option) *Forwarder {
 	dialer := link.New(dialTimeout).Dialer()
-	return &Forwarder{
+	f := &Forwarder{
 		maxAnswerBytes: maxAnswerBytes,
 		largeBodies:    make(chan struct{}, maxLargeBodies),
 		transport: &http.Transport{
@@ -100,6 +102,20 @@
 			DisableCompression:     true,
 		},
 	}
+	for _, option := range options {
+		option(f)
+	}
+	return f
+}
+
+// Option configures a Forwarder.
+type Option func(*Forwarder)
+
+// WithTraffic returns an Option that counts the bytes on the connections to guards.
+func WithTraffic(c *crossing.Counter) Option {
+	return func(f *Forwarder) {
+		f.transport.DialContext = c.Dial(crossing.Requests, f.transport.DialContext)
+	}
 }
 
 // Forward sends the request to the guard at address and waits for its answer or the end of
@@ -167,8 +183,16 @@
 	return request, nil
 }
 
-// readAnswer reads the answer to the attempt of the envelope.
+// readAnswer reads the answer to the attempt of the envelope. A guard's answers show where
+// they end: without that, the end of a connection that was cut between two TLS records would
+// look like the end of the answer.
 func (f *Forwarder) readAnswer(response *http.Response, e hop.Envelope) (Answer, error) {
+	if err := answer.Check(response); err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrAnswerLost, err)
+	}
+	if !answer.IsDelimited(response) {
+		return Answer{}, fmt.Errorf("%w: answer has neither a Content-Length nor chunks", ErrAnswerLost)
+	}
 	report, err := hop.ReadReport(response.Header)
 	if err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrAnswerLost, err)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -26,6 +26,7 @@
 type sentAttempt struct {
 	exchange *exchange
 	number   uint8
+	hedge    bool
 	target   chooser.Target
 	token    *enforcer.Token
 	cancel   context.CancelFunc
@@ -46,6 +47,7 @@
 	s := &sentAttempt{
 		exchange: x,
 		number:   a.ID.Attempt,
+		hedge:    x.picksHedge,
 		target:   x.target,
 		token:    x.takeToken(),
 		cancel:   cancel,
@@ -58,11 +60,13 @@
 			KeyID:         x.caller.keyID,
 			Route:         x.route.Name,
 			Class:         x.class,
+			Rank:          x.rank,
 			CallerService: x.ingress.Service,
 			Repeatable:    x.route.Repeatable,
 			Forced:        x.target.Forced,
-			Prompt:        x.prompt(),
+			Prompt:        x.picksHedge || x.prompt(),
 			Repeated:      x.mayHaveArrived(),
+			Hedge:         x.picksHedge,
 			Revision:      x.snapshot.Revision,
 		},
 	}
@@ -104,6 +108,7 @@
 		i.Observer.AnswerDropped(s.envelope.Attempt)
 	}
 	s.reportTokenUse(err)
+	s.reportToHedging(ctx, took, err)
 	s.reportToChooser(ctx, took, err)
 	i.Observer.AttemptEnded(AttemptRecord{
 		Attempt: s.envelope.Attempt, RequestID: s.envelope.RequestID,
@@ -128,9 +133,14 @@
 		return forwarder.ErrNotSent
 	}
 	s.envelope.Incarnation, s.envelope.Expires = incarnation, expires.Milliseconds()
+	if target := s.exchange.answerBy(); !target.IsZero() {
+		_, on, _ := guardClock.Deadline(now, target.Sub(now))
+		s.envelope.Target = max(1, on.Milliseconds())
+	}
 	if s.token != nil {
 		_, tokenExpires, _ := guardClock.Deadline(now, s.token.Expires.Sub(now))
 		s.envelope.TokenExpires = max(0, tokenExpires.Milliseconds())
+		s.envelope.TokenHolder, s.envelope.TokenID = s.token.Holder, s.token.ID
 	}
 	return nil
 }
@@ -164,17 +174,26 @@
 		return
 	}
 	ended := picker.AttemptEnded{
-		Attempt: s.envelope.Attempt,
-		Backend: s.target.Backend.ID,
-		Class:   s.exchange.class,
-		Took:    took,
-		Verdict: s.verdict(ctx, err),
-		Report:  s.answer.Report.Load,
+		Attempt:     s.envelope.Attempt,
+		Backend:     s.target.Backend.ID,
+		Class:       s.exchange.class,
+		Took:        took,
+		Verdict:     s.verdict(ctx, err),
+		Report:      s.answer.Report.Load,
+		AnswerBytes: len(s.answer.Body),
 	}
 	i.Chooser.AttemptEnded(ended)
-	if ended.Verdict == verdict.OK {
-		i.observeLatency(s.exchange.route.Name, took)
+}
+
+// reportToHedging tells the hedging what a hedge took, or how long another attempt did.
+func (s *sentAttempt) reportToHedging(ctx context.Context, took time.Duration, err error) {
+	i := s.exchange.ingress
+	if !s.hedge {
+		i.hedging.observe(i.Clock(), s.exchange.route, s.exchange.service, took, s.verdict(ctx, err))
+		return
 	}
+	notRun := errors.Is(err, forwarder.ErrNotSent) || err == nil && s.answer.Report.Ending == hop.NotRun
+	s.settleHedge(took, !notRun, err == nil && s.answer.Report.Ending == hop.Ran && ctx.Err() == nil)
 }
 
 // verdict returns what the outcome of the attempt says about the backend server or the
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -14,7 +14,9 @@
 //
 // An answer is whole only if its framing says so: the Content-Length was reached, the
 // last chunk has come, or the status allows no body. If the dialect allows answers that
-// end with their connection, an orderly close ends one, but a reset doesn't.
+// end with their connection, an orderly close ends one once the request has been sent
+// whole, but a reset doesn't. Bytes that are no answer by package answer end the request as
+// unknown.
 //
 // # Usage
 //
@@ -30,10 +32,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
+
+	"berylpass/answer"
 )
 
 const (
@@ -51,7 +54,12 @@
 	ErrUnknown = errors.New("request may have run")
 	// ErrTooLarge reports, wrapped in ErrUnknown, an answer whose headers or body are too
 	// large.
-	ErrTooLarge = errors.New("answer is too large")
+	ErrTooLarge = answer.ErrTooLarge
+	// ErrMalformed reports, wrapped in ErrUnknown, bytes that are no answer.
+	ErrMalformed = answer.ErrMalformed
+	// ErrCut reports, wrapped in ErrUnknown, an answer that ended with its connection before the
+	// whole request was sent: the connection may have been reset.
+	ErrCut = errors.New("connection ended before the request was sent whole")
 	// ErrUnframed reports, wrapped in ErrUnknown, an answer with neither a Content-Length
 	// nor chunks: its end can't be distinguished from a lost connection.
 	ErrUnframed = errors.New("answer has neither a Content-Length nor chunks")
@@ -76,9 +84,9 @@
 	// BeforeSend, if not nil, is called once the connection is established, right before the
 	// first byte is written. If it returns an error, the request is not sent.
 	BeforeSend func() error
-	// ReadBody, if not nil, reads the body of the answer. The length is negative if it is not
-	// known. It returns io.ErrShortBuffer for a body of more than limit bytes.
-	ReadBody func(body io.Reader, length, limit int64) ([]byte, error)
+	// Reserve, if not nil, is called with a number of bytes before memory for the answer's body
+	// is taken. If it returns an error, the answer is not read.
+	Reserve func(bytes int64) error
 	// Instance is the ID of the backend server that must run the request, empty for any.
 	Instance string
 	// Organisation is the organisation whose key came with the request, empty if the request
