--- a/caller/memory/budget_test.go
+++ b/caller/memory/budget_test.go
@@ -60,6 +60,7 @@
 				o.t.Fatalf("ticket %d answered twice", a.Ticket)
 			}
 			delete(o.pending, a.Ticket)
+			o.checkOrder(r)
 			o.granted[r.Holder] = append(o.granted[r.Holder], Release{Holder: r.Holder, Part: r.Part, Bytes: r.Bytes})
 		case Refused:
 			if _, ok := o.pending[a.Ticket]; !ok {
@@ -76,16 +77,26 @@
 	}
 }
 
+// checkOrder checks that no reservation of the kind of r, which waited and is granted, has waited for longer.
+func (o *oracle) checkOrder(r Reserve) {
+	for _, w := range o.budget.waiting {
+		if r.MayWait && w.Ticket < r.Ticket && w.Part == r.Part && isLong(w.Part, w.Bytes) == isLong(r.Part, r.Bytes) {
+			o.t.Fatalf("%+v was granted before %+v", r, w)
+		}
+	}
+}
+
 func holderOf(t *rapid.T) uint64 { return rapid.Uint64Range(0, 7).Draw(t, "holder") }
 
 func (o *oracle) reserve(t *rapid.T) {
 	o.ticket++
-	r := Reserve{Ticket: o.ticket, Holder: holderOf(t), Part: Part(rapid.IntRange(0, 1).Draw(t, "part")), MayWait: rapid.Bool().Draw(t, "may wait")}
-	r.Bytes = rapid.Int64Range(1, 60<<10).Draw(t, "bytes")
+	r := Reserve{Ticket: o.ticket, Holder: holderOf(t), Part: Part(min(rapid.IntRange(0, 3).Draw(t, "part"), 1))}
+	// Few of them fill a part, so that most steps are played with little room.
+	r.Bytes = 1<<10 + 59<<10*rapid.Int64Range(0, 1).Draw(t, "much") + rapid.Int64Range(0, 1000).Draw(t, "bytes")
 	if r.Part == Exchanges && rapid.Bool().Draw(t, "long") {
-		r.Bytes = rapid.Int64Range(ShortBytes+1, 1<<20).Draw(t, "long bytes")
+		r.Bytes = []int64{100 << 10, 300 << 10, 500 << 10, 1 << 20}[rapid.IntRange(0, 3).Draw(t, "long bytes")]
 	}
-	r.MayWait = r.MayWait && r.Part == Exchanges
+	r.MayWait = r.Part == Exchanges && rapid.IntRange(0, 3).Draw(t, "may wait") > 0
 	o.pending[r.Ticket] = r
 	o.update(r)
 	if _, left := o.pending[r.Ticket]; left && !r.MayWait {
