--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -183,6 +183,34 @@
 	d.check(descriptors)
 }
 
+// TestAnswersThatNobodyReadsFromAnotherVM lets callers of one daemon read nothing of large answers that come from another.
+func TestAnswersThatNobodyReadsFromAnotherVM(t *testing.T) {
+	first, second := newPair(t)
+	newCrowd(first, 48).write(func() string { return head(http.MethodGet, fmt.Sprintf("/read/large/%d", 6<<20)) + "\r\n" })
+	time.Sleep(settle)
+	first.mustAnswer(http.MethodGet, "/read/small", 0)
+	first.mustAnswer(http.MethodPost, "/write/small", 1<<10)
+	first.check(descriptors)
+	second.check(descriptors)
+}
+
+// TestLongBodiesAtOnceForAnotherVM lets callers of one daemon send long bodies at once that another has to run, and then one alone.
+func TestLongBodiesAtOnceForAnotherVM(t *testing.T) {
+	first, second := newPair(t)
+	body := strings.Repeat("x", 6<<20)
+	c := newCrowd(first, 24)
+	c.write(func() string {
+		return head(http.MethodPost, "/write/x") + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
+	})
+	first.mustAnswer(http.MethodPost, "/write/small", 1<<10)
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+	first.mustAnswer(http.MethodPost, "/write/large", len(body))
+	first.check(descriptors)
+	second.check(descriptors)
+}
+
 // TestIdleConnections lets callers open more connections than the daemon has descriptors, and send nothing.
 func TestIdleConnections(t *testing.T) {
 	const few = 600
--- a/crowd/daemon_test.go
+++ b/crowd/daemon_test.go
@@ -77,6 +77,26 @@
 // newDaemon starts a daemon that may open the given number of descriptors, and waits until an
 // ordinary request is answered.
 func newDaemon(t *testing.T, descriptors int) *daemon {
+	t.Helper()
+	d := startDaemon(t, newStore(t), "vm-1", descriptors)
+	startBackend(t, d.address(2))
+	d.mustAnswer(http.MethodGet, "/read/small", 0)
+	return d
+}
+
+// newPair starts two daemons, of which the second has the only backend server, and waits until
+// the first has an ordinary request answered.
+func newPair(t *testing.T) (first, second *daemon) {
+	t.Helper()
+	store := newStore(t)
+	first, second = startDaemon(t, store, "vm-1", descriptors), startDaemon(t, store, "vm-2", descriptors)
+	startBackend(t, second.address(2))
+	first.mustAnswer(http.MethodGet, "/read/small", 0)
+	return first, second
+}
+
+// newStore starts a store with a configuration and returns its address.
+func newStore(t *testing.T) string {
 	t.Helper()
 	store, err := standin.New("127.0.0.1:0")
 	if err != nil {
@@ -91,18 +111,22 @@
 	if _, err := store.Store().Put(context.Background(), document.Key, configuration.JSON(), 0); err != nil {
 		t.Fatal(err)
 	}
+	return store.Address()
+}
+
+// startDaemon starts a daemon that may open the given number of descriptors.
+func startDaemon(t *testing.T, store, id string, descriptors int) *daemon {
+	t.Helper()
 	d := &daemon{t: t}
 	for n := range d.ports {
 		d.ports[n] = freePort(t)
 	}
 	dir := t.TempDir()
 	file := filepath.Join(dir, "daemon.ini")
-	if err := os.WriteFile(file, []byte(d.settings(store.Address(), descriptors)), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(d.settings(store, id, descriptors)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	d.start(file, filepath.Join(dir, "daemon.log"))
-	startBackend(t, d.address(2))
-	d.mustAnswer(http.MethodGet, "/read/small", 0)
 	return d
 }
 
@@ -115,9 +139,9 @@
 	return l.Addr().(*net.TCPAddr).Port
 }
 
-func (d *daemon) settings(store string, descriptors int) string {
+func (d *daemon) settings(store, id string, descriptors int) string {
 	return fmt.Sprintf(`[daemon]
-id = vm-1
+id = %s
 datacentre = srem
 region = wielkopolska
 dialect = platform
@@ -141,7 +165,7 @@
 descriptors = %d
 [datacentres]
 srem = wielkopolska
-`, d.address(0), d.address(1), d.address(2), d.address(3), d.address(4), d.address(5), store, maxBody, maxHeader, memoryMiB, descriptors)
+`, id, d.address(0), d.address(1), d.address(2), d.address(3), d.address(4), d.address(5), store, maxBody, maxHeader, memoryMiB, descriptors)
 }
 
 // start starts the process, and counts its descriptors until it ends.
