caller/listener: a stalled connection gives way when all have requests

Cause: once all of a daemon's connections had requests, new ones were closed, also if the callers of those read nothing.

--- a/caller/listener/conn.go
+++ b/caller/listener/conn.go
@@ -75,6 +75,9 @@
 	reserved reservations
 	// quietSince is when the connection was opened, or last ended reading or answering.
 	quietSince time.Time
+	// lastWritten is when the operating system last accepted bytes, or when the first of those unsent were passed to
+	// the library.
+	lastWritten time.Time
 	// reading is whether a part of a request has arrived, or data is being processed; partialHead is whether that
 	// part ends within a head.
 	reading     bool
@@ -132,6 +135,9 @@
 		c.mu.Unlock()
 		return 0, net.ErrClosed
 	}
+	if c.unsent == 0 {
+		c.lastWritten = time.Now()
+	}
 	c.unsent += len(p)
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
@@ -163,6 +169,7 @@
 	defer c.mu.Unlock()
 	c.unsent -= n
 	c.written += n
+	c.lastWritten = time.Now()
 	c.holder.Moved(int64(n))
 	if c.unsent <= 0 {
 		c.releaseUnsent()
--- a/caller/listener/listener_test.go
+++ b/caller/listener/listener_test.go
@@ -445,6 +445,33 @@
 	awaitNoReservations(t, l)
 }
 
+// TestStalledConnectionGivesWay checks that a connection whose caller reads nothing of its response is closed for
+// another if all connections have requests.
+func TestStalledConnectionGivesWay(t *testing.T) {
+	const size = 32 << 20
+	l := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			w.Write(make([]byte, size))
+		}
+	}, WithMaxConnections(1))
+	first := dial(t, l)
+	io.WriteString(first, get("/large"))
+	served := func() bool {
+		conn := dial(t, l)
+		io.WriteString(conn, get("/"))
+		_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		return err == nil
+	}
+	for deadline := time.Now().Add(testTimeout); !served(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no other connection is served")
+		}
+	}
+	if n, err := io.Copy(io.Discard, first); n >= size || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the first connection read %d bytes of a response that should have been given up, %v", n, err)
+	}
+}
+
 // TestTimeoutsCanChange checks that a changed timeout for heads is in force for the next head.
 func TestTimeoutsCanChange(t *testing.T) {
 	l := start(t, echo)
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -106,6 +106,18 @@
 	})
 }
 
+// TestShortAnswersThatNobodyReads lets callers send many requests at once and read nothing of answers that are short enough to be
+// held beside long ones.
+func TestShortAnswersThatNobodyReads(t *testing.T) {
+	play(t, 400, func() string {
+		var b strings.Builder
+		for range 30 {
+			b.WriteString(head(http.MethodGet, fmt.Sprintf("/read/large/%d", 60<<10)) + "\r\n")
+		}
+		return b.String()
+	})
+}
+
 // TestHeadsOverTheLimit lets callers send heads far over the limit.
 func TestHeadsOverTheLimit(t *testing.T) {
 	long := "X-Long: " + strings.Repeat("x", 4<<20) + "\r\n\r\n"
@@ -211,6 +223,16 @@
 	second.check(descriptors)
 }
 
+// TestAllConnectionsWithUnreadAnswers lets callers take all connections and read nothing of large answers.
+func TestAllConnectionsWithUnreadAnswers(t *testing.T) {
+	const few = 600
+	d := newDaemon(t, few)
+	newCrowd(d, 700).write(func() string { return head(http.MethodGet, fmt.Sprintf("/read/large/%d", 6<<20)) + "\r\n" })
+	time.Sleep(settle)
+	d.mustAnswer(http.MethodGet, "/read/small", 0)
+	d.check(few)
+}
+
 // TestIdleConnections lets callers open more connections than the daemon has descriptors, and send nothing.
 func TestIdleConnections(t *testing.T) {
 	const few = 600
