--- a/config/settings/table.go
+++ b/config/settings/table.go
@@ -98,7 +98,7 @@
 		field.Integer("limit-slack", 0, 1000000, func(s *Settings) *int { return &s.Limits.LimitSlack }).
 			WithDefault("0").WithMeaning("Number by which the requests run for an organisation may exceed its limit in addition."),
 		field.Integer("caller-connections", 1, 1000000, func(s *Settings) *int { return &s.Limits.CallerConnections }).
-			WithDefault("20000").WithMeaning("Largest number of callers' connections open at once; further ones are closed."),
+			WithDefault("20000").WithMeaning("Largest number of callers' connections open at once; memory and descriptors may allow fewer. A further one takes the place of one without a request, or of one that reads nothing, else it is closed."),
 		memoryField, descriptorsField,
 	}},
 	{"regions", field.Table[Settings]{
