--- a/daemon/memory.go
+++ b/daemon/memory.go
@@ -24,6 +24,9 @@
 	// headSlack is added to the operators' timeout for heads, for the time a head takes from the
 	// caller to the daemon.
 	headSlack = 500 * time.Millisecond
+	// memoryRetryAfter is the Retry-After, in seconds, of a request that found no memory: callers
+	// that are behind are closed within memory.Grace.
+	memoryRetryAfter = "1"
 )
 
 // MemoryParts returns how the memory that the settings grant is divided.
--- a/daemon/memory_test.go
+++ b/daemon/memory_test.go
@@ -1,10 +1,19 @@
 package daemon
 
 import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
 	"testing"
+	"time"
 
+	"berylpass/caller/listener"
 	"berylpass/caller/memory"
 	"berylpass/config/settings"
+	"berylpass/config/snapshot"
 )
 
 // TestCallerConnectionsFitTheMachine checks that callers' connections leave descriptors and memory to the daemon.
@@ -30,3 +39,37 @@
 		t.Errorf("got %+v, want at most %+v", p, most)
 	}
 }
+
+// TestTimeoutsOfTheConfigurationAreInForce checks that an unfinished head and an idle connection are closed after the
+// operators' timeouts, and that a connection with a request isn't.
+func TestTimeoutsOfTheConfigurationAreInForce(t *testing.T) {
+	release := make(chan struct{})
+	l, err := listener.New("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	d := &Daemon{}
+	d.startedCallers.Store(l)
+	d.applyTimeouts(snapshot.New(1).WithHeadTimeout(time.Millisecond).WithIdleTimeout(10 * time.Millisecond))
+	dial := func(text string) net.Conn {
+		conn, err := net.Dial("tcp", l.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_, _ = io.WriteString(conn, text)
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		return conn
+	}
+	busy := dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	for _, conn := range []net.Conn{dial("GET / HTTP/1.1\r\nHo"), dial("")} {
+		if _, err := conn.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("got %v, want the connection closed", err)
+		}
+	}
+	close(release)
+	if response, err := http.ReadResponse(bufio.NewReader(busy), nil); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("the connection with a request: %v", err)
+	}
+}
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -253,7 +253,11 @@
 // ingress, and returns the headers and the body of the answer.
 func (d *Daemon) refuse(status int, reason string) (http.Header, []byte) {
 	event.CallerRefused.Log(&d.logger).Int("status", status).Str("reason", reason).Send()
-	return ingress.Refuse(status, reason)
+	header, body := ingress.Refuse(status, reason)
+	if status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", memoryRetryAfter)
+	}
+	return header, body
 }
 
 // logPanic logs the panic of an HTTP handler, whose connection the listener cuts.
