--- a/answer/chunk.go
+++ b/answer/chunk.go
@@ -20,8 +20,8 @@
 )
 
 // readChunks reads a body in chunks, of at most maxBytes bytes, and the trailer behind it.
-func readChunks(in *bufio.Reader, maxBytes int64) ([]byte, error) {
-	var body bytes.Buffer
+func readChunks(in *bufio.Reader, maxBytes int64, reserve func(int64) error) ([]byte, error) {
+	body := growing{reserve: reserve}
 	for {
 		left := maxChunkLine
 		line, err := readLine(in, &left)
@@ -32,13 +32,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if size > maxBytes-int64(body.Len()) {
+		if size > maxBytes-int64(len(body.bytes)) {
 			return nil, ErrTooLarge
 		}
 		if size == 0 {
 			break
 		}
-		if _, err := io.CopyN(&body, in, size); err != nil {
+		if err := body.read(in, size); err != nil {
 			return nil, unexpected(err)
 		}
 		var end [2]byte
@@ -53,7 +53,7 @@
 	if _, err := readFields(in, &left); err != nil {
 		return nil, err
 	}
-	return body.Bytes(), nil
+	return body.bytes, nil
 }
 
 // parseChunkSize parses the size in hexadecimal and checks the extensions behind it.
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -99,6 +99,10 @@
 	LimitSlack     int
 	// CallerConnections is the largest number of callers' connections open at once.
 	CallerConnections int
+	// Memory is the memory in bytes that the daemon may use, Descriptors the number of file
+	// descriptors; 0 for what the VM has.
+	Memory      int64
+	Descriptors int
 }
 
 // Regions is the section [regions]: what requests may use of the link between two regions. It has no effect in a
--- a/config/settings/table.go
+++ b/config/settings/table.go
@@ -82,7 +82,7 @@
 	}},
 	{"limits", field.Table[Settings]{
 		field.Size("max-body", 1<<10, 1<<30, func(s *Settings) *int64 { return &s.Limits.MaxBody }).
-			WithDefault("32MiB").WithMeaning("Largest body of a request or an answer."),
+			WithDefault("64MiB").WithMeaning("Largest body of a request or an answer."),
 		field.Size("max-header", 1<<10, 1<<20, func(s *Settings) *int64 { return &s.Limits.MaxHeader }).
 			WithDefault("32KiB").WithMeaning("Largest header of a request or an answer."),
 		field.Integer("queue-per-backend", 1, 100000, func(s *Settings) *int { return &s.Limits.QueuePerBackend }).
@@ -98,7 +98,8 @@
 		field.Integer("limit-slack", 0, 1000000, func(s *Settings) *int { return &s.Limits.LimitSlack }).
 			WithDefault("0").WithMeaning("Number by which the requests run for an organisation may exceed its limit in addition."),
 		field.Integer("caller-connections", 1, 1000000, func(s *Settings) *int { return &s.Limits.CallerConnections }).
-			WithDefault("20000").WithMeaning("Largest number of callers' connections open at once; further ones are closed."),
+			WithDefault("20000").WithMeaning("Largest number of callers' connections open at once; memory and descriptors may allow fewer. A further one takes the place of one without a request, or of one that reads nothing, else it is closed."),
+		memoryField, descriptorsField,
 	}},
 	{"regions", field.Table[Settings]{
 		field.Number("link-rate", 0.1, 1e6, func(s *Settings) *float64 { return &s.Regions.LinkRate }).
--- a/leg/exchange.go
+++ b/leg/exchange.go
@@ -137,7 +137,7 @@
 			continue
 		}
 		reading := l.dialect.Read(r, head.Status, head.Header)
-		body, err := l.readBody(c, r.Method, head, sent)
+		body, err := l.readBody(c, r.Method, head.WithReserve(r.Reserve), sent)
 		if err != nil {
 			return Answer{}, false, err
 		}
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -84,6 +84,9 @@
 	// BeforeSend, if not nil, is called once the connection is established, right before the
 	// first byte is written. If it returns an error, the request is not sent.
 	BeforeSend func() error
+	// Reserve, if not nil, is called with a number of bytes before memory for the answer's body
+	// is taken. If it returns an error, the answer is not read.
+	Reserve func(bytes int64) error
 	// Instance is the ID of the backend server that must run the request, empty for any.
 	Instance string
 	// Organisation is the organisation whose key came with the request, empty if the request
