fleet/membership: a start reads the members' records once

Change: NewStart lists all records; the daemon joins with that list. Test: TestStartReadsTheRecordsOnce.

--- a/fleet/membership/option.go
+++ b/fleet/membership/option.go
@@ -25,6 +25,8 @@
 	// record in the store, 0 if there is none.
 	recordKnown   bool
 	recordVersion uint64
+	// listing holds the records that were read at the start; its version is 0 if there are none.
+	listing listing
 }
 
 // Option configures a Membership.
@@ -63,14 +65,14 @@
 
 // WithStart passes on what NewStart found of earlier runs. If the incarnation is not
 // confirmed, an earlier run may have had a higher one; the daemon then raises its own
-// above it.
+// above it. The daemon joins with the records that NewStart has read.
 func WithStart(s Start) Option {
 	return func(o *options) {
 		if !s.Confirmed {
 			o.roster = append(o.roster, roster.WithUnconfirmedIncarnation())
 			return
 		}
-		o.recordKnown, o.recordVersion = true, s.RecordVersion
+		o.recordKnown, o.recordVersion, o.listing = true, s.RecordVersion, s.listing
 	}
 }
 
--- a/fleet/membership/record.go
+++ b/fleet/membership/record.go
@@ -44,22 +44,39 @@
 	// RecordVersion is the object version of the daemon's record in the store, 0 if there is
 	// none.
 	RecordVersion uint64
+	// listing holds the members' records, with which the daemon joins.
+	listing listing
+}
+
+// listing is a list of the members' records in the store.
+type listing struct {
+	records []roster.Record
+	// version is the store's version as of which the records are; 0 if there is no list.
+	version uint64
+	// calledAt is when the store was called.
+	calledAt time.Time
 }
 
 // NewStart chooses the incarnation of a daemon that starts now. It is the time in Unix
 // milliseconds, or the incarnation in the store plus 1 if that is higher because the
 // clock was ahead in an earlier run. If the store doesn't answer, the incarnation is the
-// time, unconfirmed; see WithStart.
+// time, unconfirmed; see WithStart. It reads all records in one call, since the daemon needs
+// the others to join: when a fleet starts, each call is made hundreds of times.
 func NewStart(ctx context.Context, store Store, id member.ID, now time.Time) Start {
 	s := Start{Incarnation: uint64(max(now.UnixMilli(), 1))}
-	found, err := store.Get(ctx, recordKey(id))
+	objects, version, err := store.Watch(ctx, recordPrefix, 0)
 	if err != nil {
-		s.Confirmed = errors.Is(err, object.ErrNotFound)
 		return s
 	}
-	s.Confirmed, s.RecordVersion = true, found.Version
-	if r, err := decodeRecord(found); err == nil && r.Member.Incarnation >= s.Incarnation {
-		s.Incarnation = r.Member.Incarnation + 1
+	s.Confirmed, s.listing = true, listing{records: decodeRecords(objects), version: version, calledAt: now}
+	for _, o := range objects {
+		if o.Key != recordKey(id) || o.Deleted {
+			continue
+		}
+		s.RecordVersion = o.Version
+		if r, err := decodeRecord(o); err == nil && r.Member.Incarnation >= s.Incarnation {
+			s.Incarnation = r.Member.Incarnation + 1
+		}
 	}
 	return s
 }
--- a/fleet/membership/records.go
+++ b/fleet/membership/records.go
@@ -250,9 +250,13 @@
 	return err == nil || errors.Is(err, object.ErrNotFound)
 }
 
-// joinLoop reads the member records once. While the store doesn't answer, it retries
-// until another daemon is known.
+// joinLoop takes the member records that were read at the start, or else reads them once. While
+// the store doesn't answer, it retries until another daemon is known.
 func (m *Membership) joinLoop() {
+	if m.options.listing.version > 0 {
+		m.takeListing(m.options.listing)
+		return
+	}
 	for failures := 1; ; failures++ {
 		if m.listRecords() || len(m.Members()) > 1 {
 			return
@@ -273,12 +277,17 @@
 	if err != nil {
 		return false
 	}
-	m.update(roster.StoreAnswered{CalledAt: since})
-	m.update(roster.StoreRecords{Records: decodeRecords(objects)})
+	m.takeListing(listing{records: decodeRecords(objects), version: version, calledAt: since})
+	return true
+}
+
+// takeListing passes the member records in the store to the roster.
+func (m *Membership) takeListing(l listing) {
+	m.update(roster.StoreAnswered{CalledAt: l.calledAt})
+	m.update(roster.StoreRecords{Records: l.records})
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.recordsRead, m.listedVersion = true, version
-	return true
+	m.recordsRead, m.listedVersion = true, l.version
 }
 
 // takeListedVersion returns the version as of which the records were listed, from which
