picker, ingress: placement by expected completion; scenario tests of regions

Cause: an ingress knows a backend server's load from reports older than the time in which a slot changes hands. A request that a full backend server had refused went to the next one in a fixed order, which all ingresses of the data centre try as well, and after two refusals it waited wherever it came to be. Change, only with two regions or more: placement by measured time of the class and by what waits (picker option WithExpectedCompletion), retries to the better of two random backend servers, and four attempts instead of two that a busy guard refuses at once. The room of a region is judged by the last report of each of its backend servers, each counted once: by reports alone, refusals of full ones counted most and requests left a region with room.

--- a/choice/picker/evaluate.go
+++ b/choice/picker/evaluate.go
@@ -69,6 +69,7 @@
 	wasUnhealthy := g.unhealthy
 	g.evaluatedAt, g.unhealthy = now, false
 	peers := g.peerLevels(now)
+	g.usualTimes = peers.medianTimes()
 	for _, s := range g.servers {
 		if !s.serving() {
 			continue
--- a/choice/picker/pick.go
+++ b/choice/picker/pick.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"berylpass/choice/breaker"
+	"berylpass/config/class"
 	"berylpass/fleet/backend"
 )
 
@@ -68,6 +69,8 @@
 	MayBeTrial bool
 	// RunOnce reports whether the request may run only once.
 	RunOnce bool
+	// Class is the class of the request.
+	Class class.Class
 	// BodyBytes is the length of the request body.
 	BodyBytes int
 	// LargeAnswer reports whether the answer is likely to be large.
@@ -107,8 +110,9 @@
 	return s.backend.ID, nil
 }
 
-// lessLoaded returns the less loaded of two random servers.
-func (p *Picker) lessLoaded(now time.Time, servers []*server) *server {
+// lessLoaded returns the less loaded of two random servers, or the one with the earlier expected completion for a request of
+// class c.
+func (p *Picker) lessLoaded(now time.Time, servers []*server, c class.Class) *server {
 	if len(servers) == 1 {
 		return servers[0]
 	}
@@ -117,7 +121,7 @@
 	if j >= i {
 		j++
 	}
-	if servers[j].cost(now) < servers[i].cost(now) {
+	if p.cost(now, servers[j], c) < p.cost(now, servers[i], c) {
 		i = j
 	}
 	return servers[i]
@@ -138,9 +142,9 @@
 		}
 	}
 	if len(local) == 0 || len(remote) == 0 {
-		return p.lessLoaded(now, candidates)
+		return p.lessLoaded(now, candidates, req.Class)
 	}
-	if req.RunOnce {
+	if req.RunOnce && (!p.byCompletion || len(req.Exclude) == 0) {
 		if s := firstWithCapacity(now, local, p.startPosition); s != nil {
 			return s
 		}
@@ -149,8 +153,8 @@
 	if req.BodyBytes > localFirstBodyBytes {
 		penalty = localFirstBodyPenalty
 	}
-	l, r := p.lessLoaded(now, local), p.lessLoaded(now, remote)
-	if r.penalizedLoad(now)+penalty < l.penalizedLoad(now) {
+	l, r := p.lessLoaded(now, local, req.Class), p.lessLoaded(now, remote, req.Class)
+	if p.effort(now, r, req.Class)+penalty < p.effort(now, l, req.Class) {
 		return r
 	}
 	return l
@@ -267,13 +271,13 @@
 	return nil
 }
 
-// cost returns the penalizedLoad of s, plus remotePenalty if s is in another data centre.
-func (s *server) cost(now time.Time) float64 {
-	c := s.penalizedLoad(now)
+// cost returns the effort of a request of class c at s, plus remotePenalty if s is in another data centre.
+func (p *Picker) cost(now time.Time, s *server, c class.Class) float64 {
+	cost := p.effort(now, s, c)
 	if !s.sameDatacentre {
-		c += remotePenalty
+		cost += remotePenalty
 	}
-	return c
+	return cost
 }
 
 // penalizedLoad returns the load of s, plus trippedPenalty if its breaker is not closed: failed requests end soon
--- a/choice/picker/picker.go
+++ b/choice/picker/picker.go
@@ -58,6 +58,8 @@
 	// spill decides what leaves the own region; nil if regions make no difference. region is the name of the own region.
 	spill  *spill.Spill
 	region string
+	// byCompletion places requests by expected completion.
+	byCompletion bool
 }
 
 var _ decision.System = (*Picker)(nil)
--- a/choice/picker/region.go
+++ b/choice/picker/region.go
@@ -65,7 +65,7 @@
 	if len(there) == 0 {
 		return local, nil
 	}
-	abroad := p.lessLoaded(now, there)
+	abroad := p.lessLoaded(now, there, req.Class)
 	q.There = abroad.penalizedLoad(now)
 	q.Forced = local == nil && req.HomeRegions != nil && !p.isHome(req)
 	if !p.spill.Allow(now, req.Service, q) {
@@ -89,7 +89,7 @@
 	case p.localFirst:
 		return p.pickLocalFirst(now, servers, req)
 	}
-	return p.lessLoaded(now, servers)
+	return p.lessLoaded(now, servers, req.Class)
 }
 
 // isHome reports whether the request may run in the region of this ingress.
@@ -106,10 +106,21 @@
 	return max(s.penalizedLoad(now), p.spill.Load(now, s.backend.Service)+1/float64(s.slots()))
 }
 
-// observeRegion passes a report of a guard in the own region to the spill.
+// observeRegion passes the average load of the region's backend servers to the spill after a report from one of them. Each
+// counts once, by its last report: a full one answers soonest, with a refusal, and would count most otherwise.
 func (p *Picker) observeRegion(now time.Time, s *server) {
-	if p.spill != nil && s.sameRegion && s.report.Limit > 0 {
-		p.spill.Observe(now, s.backend.Service, float64(s.report.InUse+s.report.Queued)/float64(s.report.Limit))
+	if p.spill == nil || !s.sameRegion {
+		return
+	}
+	sum, known := 0.0, 0
+	for _, peer := range s.group.servers {
+		if peer.sameRegion && peer.report.Limit > 0 && now.Sub(peer.reportAt) <= loadDecayTime {
+			sum += float64(peer.report.InUse+peer.report.Queued) / float64(peer.report.Limit)
+			known++
+		}
+	}
+	if known > 0 {
+		p.spill.Observe(now, s.backend.Service, sum/float64(known))
 	}
 }
 
--- a/choice/picker/table.go
+++ b/choice/picker/table.go
@@ -114,6 +114,8 @@
 	rebuilds    uint64
 	evaluatedAt time.Time
 	scratch     peerLevels
+	// usualTimes are the medians of the service times by class in nanoseconds, as of the last evaluation; 0 if unknown.
+	usualTimes [class.Count]float64
 	// byRegion applies the floor to the own region and to the others separately, so that the region's own capacity is
 	// made up before requests leave it.
 	byRegion bool
--- a/choice/scenario/model_test.go
+++ b/choice/scenario/model_test.go
@@ -123,6 +123,9 @@
 	r.began, r.remote = m.w.now, m.w.datacentres > 1 && m.number%m.w.datacentres != r.ingress%m.w.datacentres
 	m.maxRunning = max(m.maxRunning, len(m.running))
 	took := m.w.serviceTime()
+	if len(m.w.speeds) > 0 {
+		took = time.Duration(float64(took) * m.w.speeds[m.number%len(m.w.speeds)])
+	}
 	if m.fault.slowFactor > 0 {
 		took = time.Duration(float64(took) * m.fault.slowFactor)
 	}
--- a/choice/scenario/world_test.go
+++ b/choice/scenario/world_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"berylpass/attempt/id"
 	"berylpass/choice/gate"
 	"berylpass/choice/picker"
+	"berylpass/choice/spill"
 	"berylpass/choice/verdict"
 	"berylpass/config/class"
 	"berylpass/config/service"
@@ -74,6 +76,23 @@
 	// are several, pickers prefer local backend servers, and onceShare of the calls may run only once.
 	datacentres int
 	onceShare   float64
+	// regions is the number of regions over which the data centres are spread, 1 if zero. If there are several,
+	// regionDelay is the one-way delay between two of them, spillRate the bytes a second that may leave each, and
+	// regionRates are multiplied with the rate of the requests that begin in each.
+	regions     int
+	regionDelay time.Duration
+	spillRate   float64
+	regionRates []float64
+	// bodies are the lengths of the calls' bodies, each as likely as the others; all are empty if there are none.
+	bodies []int
+	// speeds multiply the service times of the backend servers, in turn; all are 1 if there are none.
+	speeds []float64
+	// thinned is the share of the arrivals that are left out.
+	thinned float64
+	// reportLoss is the share of the reports that don't arrive.
+	reportLoss float64
+	// byCompletion makes the pickers place requests by expected completion.
+	byCompletion bool
 	// promptAttempts is the number of first attempts of a request that are refused instead of queued
 	// if no slot is free.
 	promptAttempts int
@@ -94,6 +113,11 @@
 	reportsFetched int
 	// cutPaths maps an ingress to the backend server whose answers to it are lost.
 	cutPaths map[int]backend.ID
+	// linkCut reports whether all messages between regions are lost. crossed holds the bytes of the bodies that were
+	// sent to another region, and crossings the number of these attempts, by the region where they began.
+	linkCut   bool
+	crossed   map[int]int
+	crossings map[int]int
 	// actions is called for each action of an ingress's picker.
 	actions func(ingress int, a decision.Action)
 	// answered is called when a call ends for its caller.
@@ -112,6 +136,8 @@
 	tried           []backend.ID
 	// runOnce reports whether the call may run only once.
 	runOnce bool
+	// body is the length of its body.
+	body int
 	// began is when its latest run began, and remote whether that was in another data centre than its ingress.
 	began  time.Time
 	remote bool
@@ -122,7 +148,7 @@
 
 func newWorld(s settings) *world {
 	w := &world{settings: s, now: start, random: rand.New(rand.NewPCG(s.seed, 7)),
-		servers: make(map[backend.ID]*model), calls: make(map[id.ID]*call), cutPaths: make(map[int]backend.ID)}
+		servers: make(map[backend.ID]*model), calls: make(map[id.ID]*call), cutPaths: make(map[int]backend.ID), crossed: make(map[int]int), crossings: make(map[int]int)}
 	if w.deadline == 0 {
 		w.deadline = 10 * time.Second
 	}
@@ -136,7 +162,14 @@
 		if s.remoteServers > 0 || s.datacentres > 1 {
 			options = append(options, picker.WithLocalFirst())
 		}
+		if s.regions > 1 {
+			options = append(options, picker.WithRegions(spill.New(s.seed+uint64(i))))
+		}
+		if s.byCompletion {
+			options = append(options, picker.WithExpectedCompletion())
+		}
 		w.pickers = append(w.pickers, picker.New(s.seed+uint64(i), options...))
+		w.pickers[i].SetSpillRate(w.now, s.spillRate*float64(s.regions)/float64(s.ingresses))
 	}
 	for _, name := range sortedKeys(s.services) {
 		for n := range s.services[name] {
@@ -172,11 +205,23 @@
 		if w.datacentres > 1 {
 			same = n%w.datacentres == i%w.datacentres
 		}
-		p.Update(w.now, picker.BackendUpdated{Backend: b, Datacentre: "dc", SameDatacentre: same, InService: true})
+		p.Update(w.now, picker.BackendUpdated{Backend: b, Datacentre: "dc", SameDatacentre: same, InService: true,
+			Region: fmt.Sprint(w.region(n)), SameRegion: w.region(n) == w.region(i)})
 	}
 	w.every(50*time.Millisecond, w.jitter(50*time.Millisecond), func() { m.handle(m.gate.Update(w.now, gate.Tick{})) })
 }
 
+// region returns the region of the ingress or the backend server with a number.
+func (w *world) region(n int) int { return n % max(w.datacentres, 1) % max(w.regions, 1) }
+
+// delay returns the one-way delay between an ingress and a guard, given by the number of its backend server.
+func (w *world) delay(ingress, number int) time.Duration {
+	if w.region(ingress) != w.region(number) {
+		return hopDelay + w.regionDelay
+	}
+	return hopDelay
+}
+
 // after schedules run after a delay.
 func (w *world) after(d time.Duration, run func()) {
 	w.seq++
@@ -229,7 +274,9 @@
 		if o == "" {
 			o = w.organisations[w.random.IntN(len(w.organisations))]
 		}
-		w.submit(name, o, class.Transfer)
+		if w.thinned == 0 || w.random.Float64() >= w.thinned {
+			w.submit(name, o, class.Transfer)
+		}
 		w.after(w.exp(rate), next)
 	}
 	w.after(w.exp(rate), next)
@@ -237,18 +284,36 @@
 
 // submit sends a new call from a random ingress.
 func (w *world) submit(name, organisation string, c class.Class) {
-	r := &call{ingress: w.random.IntN(len(w.pickers)), service: name, class: c, organisation: organisation,
+	r := &call{ingress: w.drawIngress(), service: name, class: c, organisation: organisation,
 		arrivedAt: w.now, expires: w.now.Add(w.deadline), runOnce: w.remoteServers > 0}
 	if w.datacentres > 1 {
 		r.runOnce = w.random.Float64() < w.onceShare
 	}
+	if len(w.bodies) > 0 {
+		r.body = w.bodies[w.random.IntN(len(w.bodies))]
+	}
 	w.attempt(r)
 }
 
+// drawIngress returns a random ingress; one of a region is as likely as its rate demands.
+func (w *world) drawIngress() int {
+	if len(w.regionRates) == 0 {
+		return w.random.IntN(len(w.pickers))
+	}
+	highest := slices.Max(w.regionRates)
+	for {
+		i := w.random.IntN(len(w.pickers))
+		if w.random.Float64()*highest < w.regionRates[w.region(i)] {
+			return i
+		}
+	}
+}
+
 // attempt sends a call to the backend server that its ingress picks.
 func (w *world) attempt(r *call) {
 	p := w.pickers[r.ingress]
-	chosen, err := p.PickFor(w.now, picker.Request{Service: r.service, Exclude: r.tried, MayBeTrial: !r.runOnce, RunOnce: r.runOnce})
+	chosen, err := p.PickFor(w.now, picker.Request{Service: r.service, Exclude: r.tried, MayBeTrial: !r.runOnce, RunOnce: r.runOnce,
+		BodyBytes: r.body, Class: r.class})
 	if err != nil {
 		w.answered(r, verdict.Shed)
 		return
@@ -260,7 +325,16 @@
 	w.calls[r.id] = r
 	attempt := r.id
 	p.Update(w.now, picker.AttemptStarted{Attempt: r.id, Backend: chosen, Class: r.class})
-	w.after(hopDelay, func() { w.servers[chosen].arrive(r) })
+	to := w.servers[chosen]
+	if from := w.region(r.ingress); from != w.region(to.number) {
+		w.crossed[from] += r.body
+		w.crossings[from]++
+		if w.linkCut {
+			w.after(r.expires.Sub(w.now), func() { w.timeout(r, attempt, chosen) })
+			return
+		}
+	}
+	w.after(w.delay(r.ingress, to.number), func() { to.arrive(r) })
 	w.after(r.expires.Sub(w.now), func() { w.timeout(r, attempt, chosen) })
 }
 
@@ -278,10 +352,10 @@
 // answer sends a backend server's answer to the ingress, which retries a shed call up to twice.
 func (w *world) answer(r *call, from backend.ID, v verdict.Verdict) {
 	attempt := r.id
-	if w.cutPaths[r.ingress] == from {
+	if w.cutPaths[r.ingress] == from || w.linkCut && w.region(r.ingress) != w.region(w.servers[from].number) {
 		return
 	}
-	w.after(hopDelay, func() {
+	w.after(w.delay(r.ingress, w.servers[from].number), func() {
 		if w.calls[attempt] == nil {
 			return
 		}
@@ -299,7 +373,7 @@
 // set.
 func (w *world) observe(r *call, attempt id.ID, from backend.ID, v verdict.Verdict, reported bool) {
 	o := picker.AttemptEnded{Attempt: attempt, Backend: from, Class: r.class, Took: w.now.Sub(r.sent), Verdict: v}
-	if reported && !w.fifo {
+	if reported && !w.fifo && (w.reportLoss == 0 || w.random.Float64() >= w.reportLoss) {
 		rep, _ := w.servers[from].gate.Report(w.now, from)
 		encoded, _ := rep.MarshalBinary()
 		_ = rep.UnmarshalBinary(encoded)
@@ -315,7 +389,8 @@
 	w.reportsFetched++
 	o := picker.AttemptEnded{Backend: of, Verdict: verdict.PathFailure}
 	delay := picker.ReportTimeout
-	if at, ok := w.cutPaths[ingress]; !ok || at != of {
+	lost := w.linkCut && w.region(ingress) != w.region(w.servers[of].number)
+	if at, ok := w.cutPaths[ingress]; (!ok || at != of) && !lost {
 		r, _ := w.servers[of].gate.Report(w.now, of)
 		o.Verdict, o.Report, delay = verdict.Shed, &r, 2*hopDelay
 	}
@@ -331,7 +406,10 @@
 	if w.maxNoticeDelay == 0 {
 		return
 	}
-	for _, p := range w.pickers {
+	for i, p := range w.pickers {
+		if w.linkCut && w.region(i) != w.region(w.servers[n.Backend].number) {
+			continue
+		}
 		w.after(w.jitter(w.maxNoticeDelay), func() {
 			p.Update(w.now, picker.ReportReceived{Backend: n.Backend, Report: n.Report})
 		})
--- a/choice/spill/spill.go
+++ b/choice/spill/spill.go
@@ -47,16 +47,16 @@
 	roomLoad = 1
 	// observationTime is the time constant of the average load. It covers some requests of each ingress,
 	// since one ingress of a large fleet hears a few reports a second.
-	observationTime = 2 * time.Second
+	observationTime = time.Second
 	// minReports is the weight of recent reports without which the region's load counts as unknown.
 	minReports = 2
 	// stepInterval is the time between two steps of the fraction: several round trips to another region, so
 	// that a step shows in the reports before the next.
 	stepInterval = 250 * time.Millisecond
-	// riseStep and fallStep are the changes of the fraction in a step. It falls faster than it rises: bytes
-	// that needn't cross cost more than a short wait.
+	// riseStep and fallStep are the changes of the fraction in a step. They are small because many daemons change theirs
+	// by the same reports; with larger ones the load swings.
 	riseStep = 0.1
-	fallStep = 0.3
+	fallStep = 0.2
 	// maxFraction is the fraction at which all requests may leave.
 	maxFraction = 2
 	// HeavyBytes is the size of a body from which a request is heavy.
--- a/daemon/regions.go
+++ b/daemon/regions.go
@@ -43,7 +43,19 @@
 	if d.regions() == nil {
 		return nil
 	}
-	return []picker.Option{picker.WithRegions(spill.New(d.self.Incarnation))}
+	return []picker.Option{picker.WithRegions(spill.New(d.self.Incarnation)), picker.WithExpectedCompletion()}
+}
+
+// regionalPromptAttempts is the number of first attempts of a request that a busy guard refuses, in a fleet of several
+// regions: the own region is searched for a free slot before the request waits or leaves it.
+const regionalPromptAttempts = 4
+
+// promptAttempts returns the number of first attempts that a busy guard refuses, 0 for the default.
+func (d *Daemon) promptAttempts() int {
+	if d.regions() == nil {
+		return 0
+	}
+	return regionalPromptAttempts
 }
 
 // updateSpillRate gives the chooser this daemon's part of the bytes that may leave the region: an equal part for each
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -167,6 +167,7 @@
 		Service:           d.settings.Daemon.Service,
 		RetryBudget:       d.retries,
 		RepeatProbability: d.guard.RepeatProbability,
+		PromptAttempts:    d.promptAttempts(),
 	})
 	d.startedIngress.Store(d.ingress)
 	d.onClose(d.forwarder.Close)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -80,7 +80,7 @@
 // what this ingress knows of the guard's load is as old as the last report from there, and
 // another backend server is likely to have a slot free.
 func (x *exchange) prompt() bool {
-	return len(x.attempts) < promptDispatches && x.target.HasOther && len(x.request.Body) <= promptBody
+	return len(x.attempts) < x.ingress.PromptAttempts && x.target.HasOther && len(x.request.Body) <= promptBody
 }
 
 // send sends the attempt, waits for its answer, reports the outcome to the limit, the
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -23,7 +23,7 @@
 // a guard refuses.
 const maxDispatches = 7
 
-// The first promptDispatches attempts of a request are marked prompt if its body is at
+// The first promptDispatches attempts of a request, or Parts.PromptAttempts, are marked prompt if its body is at
 // most promptBody bytes: a busy guard refuses a prompt attempt at once. Later attempts
 // queue at the guard, as do those with a larger body, which costs more to send again
 // than a short wait does.
@@ -268,6 +268,7 @@
 	target, err := x.ingress.Chooser.Pick(picker.Request{
 		Service: x.service, Exclude: p.Exclude,
 		MayBeTrial: x.reserve(), BodyBytes: len(x.request.Body), RunOnce: !x.route.Repeatable,
+		Class:       x.class,
 		LargeAnswer: x.route.LargeAnswer, Priority: x.route.Priority,
 		HomeRegions: home.New(x.route, x.snapshot.Organisations[x.caller.organisation]).Regions(),
 	})
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -155,6 +155,8 @@
 	// a run on this VM's backend server that is itself a repetition, judged by the
 	// deadline and the service of the request. A nil RepeatProbability counts as 0.
 	RepeatProbability func(deadline time.Time, service string) float64
+	// PromptAttempts is the number of first attempts of a request that a busy guard refuses rather than queues; 2 if zero.
+	PromptAttempts int
 	// Random returns a random number in [0, 1); rand.Float64 if nil.
 	Random func() float64
 }
@@ -185,6 +187,9 @@
 	if parts.RepeatProbability == nil {
 		parts.RepeatProbability = func(time.Time, string) float64 { return 0 }
 	}
+	if parts.PromptAttempts == 0 {
+		parts.PromptAttempts = promptDispatches
+	}
 	if parts.Random == nil {
 		parts.Random = rand.Float64
 	}
