--- a/choice/picker/region_test.go
+++ b/choice/picker/region_test.go
@@ -198,3 +198,60 @@
 		t.Errorf("%d reports asked for, ejected: %v; want some, and the slow backend server ejected", asked, ejected)
 	}
 }
+
+// TestAnswersOfForcedRequestsLeaveTheShareAlone guards against requests whose only homes are abroad, which are not charged
+// to the share of the link, using it up by their answers: all that the region has no backend server for is refused then.
+func TestAnswersOfForcedRequestsLeaveTheShareAlone(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := newRegionPicker(now, 6, WithRegions(ratedSpill(30_000)))
+	p.Update(now, ServiceUpdated{Service: service.New("maps").WithRamp(0)})
+	abroad := backend.New("m-00", "maps", "vm-20").WithSlots(4)
+	p.Update(now, BackendUpdated{Backend: abroad, Datacentre: "there-0", Region: "there", InService: true})
+	now = now.Add(5 * time.Second)
+	if _, err := p.PickFor(now, Request{Service: "maps"}); err != nil {
+		t.Fatalf("before: %v", err)
+	}
+	attempt := id.New("vm-00", 1, 1)
+	chosen, err := p.PickFor(now, Request{Service: "rounds", HomeRegions: []string{"there"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Update(now, AttemptStarted{Attempt: attempt, Backend: chosen})
+	p.Update(now, AttemptEnded{Attempt: attempt, Backend: chosen, Verdict: verdict.OK, Took: time.Second, AnswerBytes: 4 << 20})
+	now = now.Add(30 * time.Second)
+	if _, err := p.PickFor(now, Request{Service: "maps"}); err != nil {
+		t.Errorf("30 s after a forced request's answer of 4 MB, another one is refused: %v", err)
+	}
+}
+
+// TestHomeIsKnownWithoutBackendServersHere guards against an ingress that knows no backend server of its own region, as after
+// a restart during a failure there: a request that is at home in both regions is not forced abroad and keeps to the share.
+func TestHomeIsKnownWithoutBackendServersHere(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := New(1, WithRegions(ratedSpill(0)), WithLocalFirst())
+	p.Update(now, ServiceUpdated{Service: service.New("rounds").WithRamp(0)})
+	b := backend.New("i-00", "rounds", "vm-00").WithSlots(4)
+	p.Update(now, BackendUpdated{Backend: b, Datacentre: "there-0", Region: "there", InService: true})
+	if _, err := p.PickFor(now, Request{Service: "rounds"}); !errors.Is(err, ErrNoBackend) {
+		t.Fatalf("without homes: %v, want %v", err, ErrNoBackend)
+	}
+	if got, err := p.PickFor(now, Request{Service: "rounds", HomeRegions: []string{"here", "there"}}); !errors.Is(err, ErrNoBackend) {
+		t.Errorf("at home here and there: got %q, %v without a share of the link; want %v", got, err, ErrNoBackend)
+	}
+}
+
+// TestFloorHoldsInEachHomeRegion lets all backend servers of one of two other regions fail some of their requests. A request
+// that is at home there only must still get the least bad of them, as in a fleet that has that region alone.
+func TestFloorHoldsInEachHomeRegion(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := newRegionPicker(now, 6, WithRegions(ratedSpill(1e7)))
+	p.Update(now, ServiceUpdated{Service: service.New("rounds").WithRamp(0).WithFloor(0.5)})
+	for i := range 6 {
+		b := backend.New(backend.ID(fmt.Sprintf("j-%02d", i)), "rounds", member.ID(fmt.Sprintf("vm-j%02d", i))).WithSlots(4)
+		p.Update(now, BackendUpdated{Backend: b, Datacentre: "far-0", Region: "far", InService: true})
+		p.Update(now, ReportReceived{Backend: b.ID, Report: report.Report{Breaker: breaker.Open, BreakerScore: 9, Limit: 4}})
+	}
+	if chosen, err := p.PickFor(now, Request{Service: "rounds", HomeRegions: []string{"far"}}); err != nil {
+		t.Errorf("got %q, %v; want a backend server of the home region", chosen, err)
+	}
+}
--- a/choice/scenario/world_test.go
+++ b/choice/scenario/world_test.go
@@ -96,6 +96,8 @@
 	// promptAttempts is the number of first attempts of a request that are refused instead of queued
 	// if no slot is free.
 	promptAttempts int
+	// hedgeShare is the limit of the extra work of hedges, as a share of the work; 0 for no hedges.
+	hedgeShare float64
 }
 
 // world simulates ingresses with their pickers, and backend servers with their gates.
@@ -111,6 +113,7 @@
 	calls          map[id.ID]*call
 	attempts       uint64
 	reportsFetched int
+	hedges         hedges
 	// cutPaths maps an ingress to the backend server whose answers to it are lost.
 	cutPaths map[int]backend.ID
 	// linkCut reports whether all messages between regions are lost. crossed holds the bytes of the bodies that were
@@ -118,6 +121,8 @@
 	linkCut   bool
 	crossed   map[int]int
 	crossings map[int]int
+	// needless is the number of these attempts at whose start a tenth of the slots in their own region was free.
+	needless int
 	// actions is called for each action of an ingress's picker.
 	actions func(ingress int, a decision.Action)
 	// answered is called when a call ends for its caller.
@@ -141,6 +146,10 @@
 	// began is when its latest run began, and remote whether that was in another data centre than its ingress.
 	began  time.Time
 	remote bool
+	// twin is the hedge of the call, or the call that it hedges, while both may answer. hedgeAfter is the time
+	// that a hedge is expected to take; zero for a call that is no hedge.
+	twin       *call
+	hedgeAfter time.Duration
 }
 
 // hopDelay is the one-way delay between an ingress and a guard.
@@ -214,6 +223,18 @@
 // region returns the region of the ingress or the backend server with a number.
 func (w *world) region(n int) int { return n % max(w.datacentres, 1) % max(w.regions, 1) }
 
+// use returns the share of the slots in a region on which requests run.
+func (w *world) use(region int) float64 {
+	running, slots := 0, 0
+	for _, name := range w.names {
+		if m := w.servers[name]; w.region(m.number) == region {
+			running += min(len(m.running), w.slots)
+			slots += w.slots
+		}
+	}
+	return float64(running) / float64(max(slots, 1))
+}
+
 // delay returns the one-way delay between an ingress and a guard, given by the number of its backend server.
 func (w *world) delay(ingress, number int) time.Duration {
 	if w.region(ingress) != w.region(number) {
@@ -325,10 +346,14 @@
 	w.calls[r.id] = r
 	attempt := r.id
 	p.Update(w.now, picker.AttemptStarted{Attempt: r.id, Backend: chosen, Class: r.class})
+	w.scheduleHedge(r)
 	to := w.servers[chosen]
 	if from := w.region(r.ingress); from != w.region(to.number) {
 		w.crossed[from] += r.body
 		w.crossings[from]++
+		if w.use(from) < 0.9 {
+			w.needless++
+		}
 		if w.linkCut {
 			w.after(r.expires.Sub(w.now), func() { w.timeout(r, attempt, chosen) })
 			return
@@ -346,7 +371,7 @@
 	delete(w.calls, attempt)
 	w.observe(r, attempt, chosen, verdict.Timeout, false)
 	w.servers[chosen].cancel(attempt)
-	w.answered(r, verdict.Timeout)
+	w.conclude(r, verdict.Timeout)
 }
 
 // answer sends a backend server's answer to the ingress, which retries a shed call up to twice.
@@ -361,11 +386,11 @@
 		}
 		delete(w.calls, attempt)
 		w.observe(r, attempt, from, v, true)
-		if v == verdict.Shed && len(r.tried) < max(3, w.promptAttempts+1) {
+		if v == verdict.Shed && r.twin == nil && len(r.tried) < max(3, w.promptAttempts+1) {
 			w.attempt(r)
 			return
 		}
-		w.answered(r, v)
+		w.conclude(r, v)
 	})
 }
 
@@ -379,6 +404,7 @@
 		_ = rep.UnmarshalBinary(encoded)
 		o.Report = &rep
 	}
+	w.recordWork(r, o)
 	for _, a := range w.pickers[r.ingress].Update(w.now, o) {
 		w.actions(r.ingress, a)
 	}
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -109,6 +109,7 @@
 		Departures:     d.newDepartures(store),
 		Clock:          d.clock,
 		MaxQueued:      d.settings.Limits.QueuePerBackend,
+		Precedence:     d.onPlatform(),
 		SilenceLimit:   d.silenceLimit(),
 		MayRepeatCall:  d.mayRepeatCall,
 		LastFailedCall: d.lastFailedCall,
@@ -166,8 +167,11 @@
 		OpenToAnyKey:      d.onPlatform(),
 		Service:           d.settings.Daemon.Service,
 		RetryBudget:       d.retries,
+		Hedges:            d.hedges(),
 		RepeatProbability: d.guard.RepeatProbability,
 		PromptAttempts:    d.promptAttempts(),
+		Ranked:            d.onPlatform(),
+		RankOfCall:        d.guard.RankOfCall,
 	})
 	d.startedIngress.Store(d.ingress)
 	d.onClose(d.forwarder.Close)
--- a/hop/envelope.go
+++ b/hop/envelope.go
@@ -24,8 +24,10 @@
 	"time"
 
 	"berylpass/attempt/id"
+	"berylpass/choice/urgency"
 	"berylpass/config/class"
 	"berylpass/fleet/backend"
+	"berylpass/fleet/member"
 	"berylpass/header"
 )
 
@@ -50,12 +52,22 @@
 	// TokenExpires is when the rate limit's token expires on the guard's clock, in milliseconds
 	// since its start.
 	TokenExpires int64
+	// TokenHolder is the daemon that issued the token and TokenID its ID, so that the
+	// guard can renew the token; empty and 0 if it can't be renewed.
+	TokenHolder member.ID
+	TokenID     uint64
 	// Organisation and KeyID identify the caller; empty for a request on an open route without a
 	// known key.
 	Organisation string
 	KeyID        string
 	Route        string
 	Class        class.Class
+	// Rank decides the place of the request among others; without a level it follows from Class and
+	// Organisation.
+	Rank urgency.Rank
+	// Target is until when the answer should reach the caller on the guard's clock, in milliseconds
+	// since its start; 0 for no such time.
+	Target int64
 	// CallerService is the service of the backend server on the ingress's VM; empty if unknown.
 	CallerService string
 	// Repeatable reports whether the request may run more than once. Forced reports that the
@@ -67,6 +79,9 @@
 	Prompt bool
 	// Repeated reports that an earlier attempt of the request may have reached a backend server.
 	Repeated bool
+	// Hedge reports that an earlier attempt is in flight and may run to its end; the guard refuses
+	// the request if its run would make calls of its own.
+	Hedge bool
 	// Revision is the revision of the configuration that the ingress used.
 	Revision uint64
 }
@@ -79,6 +94,10 @@
 	h.Set(Prefix+"Incarnation", strconv.FormatUint(e.Incarnation, 10))
 	h.Set(Prefix+"Expires", strconv.FormatInt(e.Expires, 10))
 	h.Set(Prefix+"Token-Lapses", strconv.FormatInt(e.TokenExpires, 10))
+	if e.TokenID != 0 {
+		h.Set(Prefix+"Token-Holder", url.QueryEscape(string(e.TokenHolder)))
+		h.Set(Prefix+"Token-Id", strconv.FormatUint(e.TokenID, 36))
+	}
 	setText(h, "Organisation", e.Organisation)
 	setText(h, "Key", e.KeyID)
 	h.Set(Prefix+"Route", url.QueryEscape(e.Route))
@@ -87,8 +106,17 @@
 	setFlag(h, "Forced", e.Forced)
 	setFlag(h, "Prompt", e.Prompt)
 	setFlag(h, "Repeated", e.Repeated)
+	setFlag(h, "Hedge", e.Hedge)
 	h.Set(Prefix+"Class", e.Class.String())
 	h.Set(Prefix+"Revision", strconv.FormatUint(e.Revision, 10))
+	if e.Rank.Level != urgency.Unranked {
+		h.Set(Prefix+"Level", strconv.Itoa(int(e.Rank.Level)))
+		h.Set(Prefix+"Inherited", strconv.Itoa(int(e.Rank.Inherited)))
+		setText(h, "Owner", e.Rank.Owner)
+	}
+	if e.Target != 0 {
+		h.Set(Prefix+"Target", strconv.FormatInt(e.Target, 10))
+	}
 }
 
 // ReadEnvelope reads the envelope that Write wrote to h. Its error wraps ErrMalformed.
@@ -100,6 +128,8 @@
 		Incarnation:   r.unsigned("Incarnation"),
 		Expires:       r.signed("Expires"),
 		TokenExpires:  r.signed("Token-Lapses"),
+		TokenHolder:   member.ID(r.text("Token-Holder")),
+		TokenID:       r.token("Token-Id"),
 		Organisation:  r.text("Organisation"),
 		KeyID:         r.text("Key"),
 		Route:         r.text("Route"),
@@ -108,6 +138,7 @@
 		Forced:        h.Get(Prefix+"Forced") != "",
 		Prompt:        h.Get(Prefix+"Prompt") != "",
 		Repeated:      h.Get(Prefix+"Repeated") != "",
+		Hedge:         h.Get(Prefix+"Hedge") != "",
 		Revision:      r.unsigned("Revision"),
 	}
 	attempt, err := id.Parse(h.Get(Prefix + "Attempt"))
@@ -116,9 +147,26 @@
 	c, err := class.Parse(h.Get(Prefix + "Class"))
 	r.setError("Class", err)
 	e.Class = c
+	e.Rank = r.rank()
+	if h.Get(Prefix+"Target") != "" {
+		e.Target = r.signed("Target")
+	}
 	return e, r.err
 }
 
+// rank reads the rank, which older ingresses leave out.
+func (r *reader) rank() urgency.Rank {
+	if r.header.Get(Prefix+"Level") == "" {
+		return urgency.Rank{}
+	}
+	level, inherited := r.unsigned("Level"), r.unsigned("Inherited")
+	if level == 0 || level >= uint64(urgency.Count) || inherited >= uint64(urgency.Count) {
+		r.setError("Level", strconv.ErrRange)
+		return urgency.Rank{}
+	}
+	return urgency.Rank{Level: urgency.Level(level), Inherited: urgency.Level(inherited), Owner: r.text("Owner")}
+}
+
 // setText sets a header to the query-escaped value. It leaves out empty values, because nbhttp
 // reads an empty header value as a space.
 func setText(h http.Header, name, value string) {
@@ -159,6 +207,17 @@
 	return v
 }
 
+// token reads the ID of a token, 0 if there is none.
+func (r *reader) token(name string) uint64 {
+	text := r.header.Get(Prefix + name)
+	if text == "" {
+		return 0
+	}
+	v, err := strconv.ParseUint(text, 36, 64)
+	r.setError(name, err)
+	return v
+}
+
 func (r *reader) signed(name string) int64 {
 	v, err := strconv.ParseInt(r.header.Get(Prefix+name), 10, 64)
 	r.setError(name, err)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -22,9 +22,11 @@
 	"berylpass/attempt/lifecycle"
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
+	"berylpass/choice/urgency"
 	"berylpass/choice/verdict"
 	"berylpass/config/class"
 	"berylpass/config/key"
+	"berylpass/config/organisation"
 	"berylpass/config/revision"
 	"berylpass/config/snapshot"
 	"berylpass/fleet/backend"
@@ -151,12 +153,19 @@
 	Service string
 	// RetryBudget returns the present bounds of the retry budgets; the defaults if nil.
 	RetryBudget func() RetryBudget
+	// Hedges decides on hedged requests; without a chooser there are none.
+	Hedges Hedges
 	// RepeatProbability returns the probability, from 0 to 1, that a request without a key comes from
 	// a run on this VM's backend server that is itself a repetition, judged by the
 	// deadline and the service of the request. A nil RepeatProbability counts as 0.
 	RepeatProbability func(deadline time.Time, service string) float64
 	// PromptAttempts is the number of first attempts of a request that a busy guard refuses rather than queues; 2 if zero.
 	PromptAttempts int
+	// Ranked reports whether the priorities of routes and organisations rank requests.
+	Ranked bool
+	// RankOfCall returns the rank of a request without a key, and true if a run on this VM's backend server makes
+	// it; see guard.Guard.RankOfCall. A nil RankOfCall counts as false.
+	RankOfCall func(deadline time.Time, ofRoute urgency.Rank) (urgency.Rank, bool)
 	// Random returns a random number in [0, 1); rand.Float64 if nil.
 	Random func() float64
 }
@@ -166,6 +175,7 @@
 	Parts
 	self       member.Member
 	retryState *retryState
+	hedging    *hedging
 	requests   atomic.Uint64
 	// lastFailedCall is when a request without a key last failed; nil for never.
 	lastFailedCall atomic.Pointer[time.Time]
@@ -193,7 +203,7 @@
 	if parts.Random == nil {
 		parts.Random = rand.Float64
 	}
-	return &Ingress{Parts: parts, self: self, retryState: newRetryState(parts.RetryBudget), withdrawals: newWithdrawals()}
+	return &Ingress{Parts: parts, self: self, retryState: newRetryState(parts.RetryBudget), hedging: newHedging(parts.Hedges), withdrawals: newWithdrawals()}
 }
 
 // LastFailedCall returns when a request without a key, such as a call of the backend
@@ -292,18 +302,20 @@
 	return fmt.Errorf("%w: %w", errOutdated, err)
 }
 
-// identify finds the organisation whose key came with the request, and sets the class of
-// the request. Open routes need no key.
+// identify finds the organisation whose key came with the request, and sets the class and the
+// rank of the request. Open routes need no key.
 func (x *exchange) identify() error {
 	x.class = x.route.Class
 	if !x.info.HasKey {
 		if x.route.Open {
+			x.setRank(organisation.Organisation{})
 			return nil
 		}
 		return errNoKey
 	}
 	o, k, ok := x.snapshot.KeyByDigest(key.DigestOf(x.info.Key))
 	if !ok && x.route.Open && x.ingress.OpenToAnyKey {
+		x.setRank(organisation.Organisation{})
 		return nil
 	}
 	if !ok {
@@ -313,6 +325,7 @@
 	if !x.route.Open {
 		x.class = o.ClassOf(x.route.Class)
 	}
+	x.setRank(o)
 	return nil
 }
 
