picker, spill, pool, roster: what the review of the regions found

Cause, each with a test of the reviewer's: the floor was applied to the own region and to all others together, so a request at home in a failing region found nothing; answers of requests that must run elsewhere were charged to the share of the link, and one large answer blocked it for minutes; the own region's name was learnt from backend servers there only; a limit was issued twice while two regions were cut off from each other. Change: the floor holds in each region; attempts that were forced abroad are remembered and not charged, a debt lasts 10 s at most and a body larger than the part of 10 s doesn't leave; the name comes from the settings; the dead holders of a region of which an eighth is dead stay holders until they are heard again or have left (limit/pool/region.go). Besides: a daemon takes over the parts of the link's share of daemons that seem dead after a minute; the loss of a region ends at a twentieth, not at the eighth at which it begins; a light request leaves only after a refusal in its own region. Without regions (one region, several data centres cut off) the limit is still issued in each part.

--- a/choice/picker/inflight.go
+++ b/choice/picker/inflight.go
@@ -31,7 +31,7 @@
 	}
 	s.lastPick = now
 	s.group.inFlight++
-	s.inFlight = append(s.inFlight, inFlightAttempt{attempt: e.Attempt, class: e.Class, sent: now})
+	s.inFlight = append(s.inFlight, inFlightAttempt{attempt: e.Attempt, class: e.Class, sent: now, forced: s.takeForcedPick()})
 }
 
 // removeInFlight removes an attempt from those in flight.
@@ -52,13 +52,13 @@
 	if s == nil {
 		return nil
 	}
+	p.chargeAnswer(now, s, e)
 	p.removeInFlight(e.Attempt, e.Backend)
 	s.group.changed = true
 	if e.Report != nil {
 		s.takeReport(now, *e.Report)
 		p.observeRegion(now, s)
 	}
-	p.chargeAnswer(now, s, e.AnswerBytes)
 	switch {
 	case e.Verdict.Answered() || e.Report != nil:
 		s.lastAnswer, s.path.lastAnswer, s.path.consecutiveFailures = now, now, 0
--- a/choice/picker/region.go
+++ b/choice/picker/region.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"berylpass/attempt/id"
 	"berylpass/choice/spill"
 )
 
@@ -17,6 +18,10 @@
 // regions make no difference.
 func WithRegions(s *spill.Spill) Option { return func(p *Picker) { p.spill = s } }
 
+// WithOwnRegion returns an Option that names the region of this ingress. Without it the name is learnt from backend servers
+// there.
+func WithOwnRegion(name string) Option { return func(p *Picker) { p.region = name } }
+
 // mayServe reports whether the request may run at s: s is neither excluded nor outside the home regions.
 func (r Request) mayServe(s *server) bool {
 	return !slices.Contains(r.Exclude, s.backend.ID) && (r.HomeRegions == nil || slices.Contains(r.HomeRegions, s.region))
@@ -57,7 +62,7 @@
 		}
 	}
 	var local *server
-	q := spill.Request{Bytes: req.BodyBytes, LargeAnswer: req.LargeAnswer, Here: math.Inf(1)}
+	q := spill.Request{Bytes: req.BodyBytes, LargeAnswer: req.LargeAnswer, Tried: len(req.Exclude) > 0, Here: math.Inf(1)}
 	if len(here) > 0 {
 		local = p.chooseAmong(now, here, req)
 		q.Here = p.expectedLoad(now, local)
@@ -67,7 +72,7 @@
 	}
 	abroad := p.lessLoaded(now, there, req.Class)
 	q.There = abroad.penalizedLoad(now)
-	q.Forced = local == nil && req.HomeRegions != nil && !p.isHome(req)
+	q.Forced = local == nil && req.HomeRegions != nil && p.region != "" && !p.isHome(req)
 	if !p.spill.Allow(now, req.Service, q) {
 		if local == nil {
 			return nil, fmt.Errorf("%w in this region of service %q, and no more may leave it", ErrNoBackend, req.Service)
@@ -75,7 +80,9 @@
 		return local, nil
 	}
 	p.spill.Left()
-	if !q.Forced {
+	if q.Forced {
+		abroad.forcedPicks++
+	} else {
 		p.spill.Charge(now, crossingBytes+req.BodyBytes)
 	}
 	return abroad, nil
@@ -124,10 +131,24 @@
 	}
 }
 
-// chargeAnswer charges the bytes of an answer that came from another region.
-func (p *Picker) chargeAnswer(now time.Time, s *server, bytes int) {
-	if p.spill != nil && !s.sameRegion && bytes > 0 {
-		p.spill.Charge(now, bytes)
+// isForced reports whether an attempt in flight was sent to another region because the request must not run in this one.
+func (s *server) isForced(attempt id.ID) bool {
+	return slices.ContainsFunc(s.inFlight, func(f inFlightAttempt) bool { return f.attempt == attempt && f.forced })
+}
+
+// takeForcedPick reports whether an attempt that begins at s is one that PickFor was forced to send there.
+func (s *server) takeForcedPick() bool {
+	if s.forcedPicks == 0 {
+		return false
+	}
+	s.forcedPicks--
+	return true
+}
+
+// chargeAnswer charges the bytes of an answer that came from another region, unless its attempt was forced to go there.
+func (p *Picker) chargeAnswer(now time.Time, s *server, e AttemptEnded) {
+	if p.spill != nil && !s.sameRegion && e.AnswerBytes > 0 && !s.isForced(e.Attempt) {
+		p.spill.Charge(now, e.AnswerBytes)
 	}
 }
 
--- a/choice/picker/table.go
+++ b/choice/picker/table.go
@@ -22,6 +22,8 @@
 	attempt id.ID
 	class   class.Class
 	sent    time.Time
+	// forced reports whether it was sent to another region because it must not run in this one.
+	forced bool
 }
 
 // record is the state that a backend server and a path have in common: probation, suspicion and the results of a
@@ -66,10 +68,12 @@
 	// peerLevelAtEjection is the logarithm of the peers' level at the time of the ejection.
 	peerLevelAtEjection float64
 
-	inFlight   []inFlightAttempt
-	lastAnswer time.Time
-	lastPick   time.Time
-	lastProbe  time.Time
+	inFlight []inFlightAttempt
+	// forcedPicks is the number of attempts that PickFor was forced to send here and that have not started yet.
+	forcedPicks int
+	lastAnswer  time.Time
+	lastPick    time.Time
+	lastProbe   time.Time
 	// askedAt is when its guard was last asked for a report.
 	askedAt time.Time
 	// active reports whether the backend server receives regular traffic.
@@ -116,8 +120,8 @@
 	scratch     peerLevels
 	// usualTimes are the medians of the service times by class in nanoseconds, as of the last evaluation; 0 if unknown.
 	usualTimes [class.Count]float64
-	// byRegion applies the floor to the own region and to the others separately, so that the region's own capacity is
-	// made up before requests leave it.
+	// byRegion applies the floor to each region by itself, so that a region's own capacity is made up before requests
+	// leave it, and requests that are at home there only find some.
 	byRegion bool
 	// candidates is memory that rebuild uses again.
 	candidates []floor.Candidate
@@ -156,8 +160,9 @@
 		s.active = s.serving() && s.severity() == 0
 	}
 	if g.byRegion {
-		g.applyFloor(func(s *server) bool { return s.sameRegion })
-		g.applyFloor(func(s *server) bool { return !s.sameRegion })
+		for _, region := range g.regions() {
+			g.applyFloor(func(s *server) bool { return s.region == region })
+		}
 	} else {
 		g.applyFloor(func(*server) bool { return true })
 	}
@@ -174,6 +179,17 @@
 	}
 }
 
+// regions returns the regions of the servers, each once.
+func (g *group) regions() []string {
+	var regions []string
+	for _, s := range g.servers {
+		if !slices.Contains(regions, s.region) {
+			regions = append(regions, s.region)
+		}
+	}
+	return regions
+}
+
 // applyFloor activates those of the given servers with a severity that the floor or a lack of capacity keeps in use.
 func (g *group) applyFloor(of func(*server) bool) {
 	candidates := g.candidates[:0]
--- a/choice/spill/spill.go
+++ b/choice/spill/spill.go
@@ -14,7 +14,9 @@
 // leave rises step by step; it falls below closeLoad, and stays between the two. Daemons
 // that hear the same reports therefore neither all send away at once nor all come back at
 // once. The fraction goes from 0 to 2: up to 1 it moves only light requests, from 1 to 2
-// also heavy ones, those with large bodies or answers.
+// also heavy ones, those with large bodies or answers. What is known of the region's load is
+// up to seconds old, so a light request leaves only after a backend server here has refused
+// it; a heavy one would be sent twice.
 //
 // No daemon coordinates: each has an equal part of the share, the share divided by the
 // number of live daemons of the region, as a token bucket in bytes. A daemon whose region
@@ -63,6 +65,9 @@
 	HeavyBytes = 8 << 10
 	// burstTime is the time for which unused bytes are saved.
 	burstTime = 2 * time.Second
+	// maxDebtTime bounds the time for which nothing leaves after an answer that was larger than this daemon's part. A
+	// request whose body alone is larger than its part in that time doesn't leave.
+	maxDebtTime = 10 * time.Second
 	// minGain is how much lower the load abroad must be, in requests per slot.
 	minGain = 0.25
 )
@@ -76,6 +81,8 @@
 	// Here and There are the loads, this request included, of the backend servers that it would go to in this
 	// region and in another one. Here is positive infinity if this region has none.
 	Here, There float64
+	// Tried reports whether a backend server in this region has refused it.
+	Tried bool
 	// Forced reports whether the request must not run in this region.
 	Forced bool
 }
@@ -139,7 +146,7 @@
 		return false
 	}
 	s.refill(now)
-	if s.tokens <= 0 {
+	if s.tokens <= 0 || float64(q.Bytes) > s.rate*maxDebtTime.Seconds() {
 		s.counts.Kept++
 		return false
 	}
@@ -157,15 +164,17 @@
 	share := r.fraction
 	if q.heavy() {
 		share--
+	} else if !q.Tried {
+		return false
 	}
 	return share > 0 && s.random.Float64() < share
 }
 
 // Charge withdraws the bytes of a request that leaves the region, or of its answer, from this daemon's part. What
-// exceeds the part is a debt, which later requests wait for.
+// exceeds the part is a debt, which later requests wait for, but not longer than maxDebtTime.
 func (s *Spill) Charge(now time.Time, bytes int) {
 	s.refill(now)
-	s.tokens -= float64(bytes)
+	s.tokens = max(s.tokens-float64(bytes), -s.rate*maxDebtTime.Seconds())
 	s.counts.Bytes += int64(bytes)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 
 	"berylpass/caller/listener"
 	"berylpass/choice/chooser"
+	"berylpass/choice/spill"
 	"berylpass/config/revision"
 	"berylpass/config/settings"
 	"berylpass/config/snapshot"
@@ -72,6 +73,10 @@
 	// which run one at a time, use it; liveDaemons is their number.
 	live        map[member.ID]string
 	liveDaemons atomic.Int64
+	// regionDaemons is the number of live daemons in this region. spillMu guards spillPeers.
+	regionDaemons atomic.Int64
+	spillMu       sync.Mutex
+	spillPeers    spill.Peers
 	// departures is nil unless the daemon speaks the platform's dialect.
 	departures *keeper.Keeper
 	// recovery is nil until it has been started, and in berylpass's own dialect.
--- a/daemon/regions.go
+++ b/daemon/regions.go
@@ -43,7 +43,10 @@
 	if d.regions() == nil {
 		return nil
 	}
-	return []picker.Option{picker.WithRegions(spill.New(d.self.Incarnation)), picker.WithExpectedCompletion()}
+	return []picker.Option{
+		picker.WithRegions(spill.New(d.self.Incarnation)), picker.WithOwnRegion(d.regions()[d.settings.Daemon.Datacentre]),
+		picker.WithExpectedCompletion(),
+	}
 }
 
 // regionalPromptAttempts is the number of first attempts of a request that a busy guard refuses, in a fleet of several
@@ -62,7 +65,7 @@
 // live daemon there. It is called when a daemon has joined, left or died.
 func (d *Daemon) updateSpillRate() {
 	regions := d.regions()
-	if regions == nil || d.chooser == nil {
+	if regions == nil {
 		return
 	}
 	daemons := 0
@@ -71,7 +74,19 @@
 			daemons++
 		}
 	}
-	d.chooser.SetSpillRate(d.settings.Regions.SpillRate() / float64(max(daemons, 1)))
+	d.regionDaemons.Store(int64(daemons))
+	d.applySpillRate()
+}
+
+// applySpillRate divides the share of the link between the live daemons of the region, as last counted.
+func (d *Daemon) applySpillRate() {
+	if d.chooser == nil {
+		return
+	}
+	d.spillMu.Lock()
+	defer d.spillMu.Unlock()
+	daemons := d.spillPeers.Update(d.clock(), int(d.regionDaemons.Load()))
+	d.chooser.SetSpillRate(d.settings.Regions.SpillRate() / float64(daemons))
 }
 
 // startRegions starts to report the traffic with other regions.
@@ -87,6 +102,7 @@
 		for n := 1; ; n++ {
 			select {
 			case <-ticker.C:
+				d.applySpillRate()
 				d.reportRegions(n%int(regionLogInterval/regionMetricsInterval) == 0)
 			case <-done:
 				return
--- a/fleet/roster/region.go
+++ b/fleet/roster/region.go
@@ -16,7 +16,9 @@
 	// lossShare is the share of another region's members, of those that did not depart, from which their deaths count as
 	// the loss of the region or of the link. All daemons then probe members of all regions, because the few that bridges
 	// probe would be declared dead one after the other.
-	lossShare = 0.125
+	// The loss ends when the share has fallen to recoveryShare.
+	lossShare     = 0.125
+	recoveryShare = 0.05
 )
 
 // WithRegions returns an Option that keeps probes and gossip within the regions, which are given by data centre. Only
@@ -47,10 +49,8 @@
 	if len(byRegion[own]) < minRegionMembers {
 		return nil, nil, false
 	}
-	for region, n := range dead {
-		if region != own && float64(n) >= lossShare*float64(n+len(byRegion[region])) {
-			return nil, nil, false
-		}
+	if t.someRegionLost(own, byRegion, dead) {
+		return nil, nil, false
 	}
 	found = ringSuccessors(self.ID, byRegion[own], ringCount)
 	if t.watcherRank(self) >= watchersPerDatacentre {
@@ -64,6 +64,20 @@
 	return append(found, bridges...), bridges, true
 }
 
+// someRegionLost determines which other regions are lost, from the live rows and the numbers of dead ones by region, and
+// reports whether any is.
+func (t *table) someRegionLost(own string, alive map[string][]*memberRow, dead map[string]int) bool {
+	lost := map[string]bool{}
+	for region, n := range dead {
+		share := float64(n) / float64(n+len(alive[region]))
+		if region != own && (share >= lossShare || share > recoveryShare && t.lostRegions[region]) {
+			lost[region] = true
+		}
+	}
+	t.lostRegions = lost
+	return len(lost) > 0
+}
+
 // ringSuccessors returns the first of the rows after self on each of the first rings, without duplicates, in the order of
 // the rings.
 func ringSuccessors(self member.ID, rows []*memberRow, rings int) []member.ID {
--- a/fleet/roster/table.go
+++ b/fleet/roster/table.go
@@ -82,6 +82,8 @@
 	size int
 	// regions are the regions of the data centres; nil if they make no difference.
 	regions map[string]string
+	// lostRegions holds the other regions of which so many members are dead that the link may be cut.
+	lostRegions map[string]bool
 	// goneBackends is the number of records of gone backend servers.
 	goneBackends int
 }
--- a/limit/pool/pool.go
+++ b/limit/pool/pool.go
@@ -15,6 +15,9 @@
 // within the limit. Parts of the fleet that have several daemons or reach the store each
 // issue the whole limit after DeadHolderRetention, for as long as they don't count as isolated.
 //
+// With regions, the dead daemons of a region of which many are dead stay holders until they are heard again: regions that
+// have lost each other go on to issue their own holders' parts of each limit only.
+//
 // A daemon that leaves stops being a holder at once. A restarted one is a holder of the same
 // limits, with empty buckets. When a daemon joins, a share is issued twice for as long as the
 // member lists of two daemons differ. After a start or a long isolation, a daemon issues
@@ -223,12 +226,14 @@
 	deadHolders := false
 	var daemons []daemon
 	askable, datacentres := map[member.ID]bool{}, map[member.ID]string{}
+	cut := p.cutRegions(members)
 	for _, m := range members {
 		eligible, canAsk := p.classify(now, m)
-		if eligible {
+		// A holder that is dead for long blocks this daemon's shares no more, whether or not it still is a holder.
+		deadHolders = deadHolders || eligible && !canAsk
+		if eligible || cut[p.regions[m.Datacentre]] && m.State == member.Dead && !p.announcedLeave[m.ID] {
 			daemons = append(daemons, daemon{id: m.ID, datacentre: m.Datacentre})
 		}
-		deadHolders = deadHolders || eligible && !canAsk
 		askable[m.ID], datacentres[m.ID] = canAsk, m.Datacentre
 	}
 	if p.joined && !isolated && !deadHolders {
