--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -76,5 +76,11 @@
 			Name: name, Region: c.Region, InService: c.InService, Members: members[name], Backends: backends[name],
 		})
 	}
+	if regions := d.regions(); regions != nil {
+		counts, services := d.chooser.Spilled()
+		out.Spill = &status.Spill{
+			Region: regions[d.self.Datacentre], Requests: counts.Requests, Bytes: counts.Bytes, Kept: counts.Kept, Services: services,
+		}
+	}
 	return out
 }
--- a/daemon/regions.go
+++ b/daemon/regions.go
@@ -99,10 +99,12 @@
 	wait.Go(func() {
 		ticker := time.NewTicker(regionMetricsInterval)
 		defer ticker.Stop()
+		var last spilled
 		for n := 1; ; n++ {
 			select {
 			case <-ticker.C:
 				d.applySpillRate()
+				last = d.reportSpill(last)
 				d.reportRegions(n%int(regionLogInterval/regionMetricsInterval) == 0)
 			case <-done:
 				return
@@ -133,6 +135,36 @@
 	}
 }
 
+// spilled is what was last reported of requests that leave the region.
+type spilled struct {
+	counts   spill.Counts
+	services map[string]bool
+}
+
+// reportSpill updates the metrics of the requests that leave the region, and logs for which services that has begun or
+// ended since the last report.
+func (d *Daemon) reportSpill(last spilled) spilled {
+	counts, lines := d.chooser.Spilled()
+	next := spilled{counts: counts, services: map[string]bool{}}
+	metrics.GetOrRegisterGauge("spilled-requests", d.metrics).Update(counts.Requests)
+	metrics.GetOrRegisterGauge("spilled-bytes", d.metrics).Update(counts.Bytes)
+	metrics.GetOrRegisterGauge("spills-kept", d.metrics).Update(counts.Kept)
+	for _, line := range lines {
+		metrics.GetOrRegisterGaugeFloat64(`region-load{service="`+line.Service+`"}`, d.metrics).Update(line.Load)
+		next.services[line.Service] = line.Fraction > 0
+		switch {
+		case line.Fraction > 0 && !last.services[line.Service]:
+			event.SpillBegan.Log(&d.logger).Str("service", line.Service).Float64("load", line.Load).Send()
+		case line.Fraction == 0 && last.services[line.Service]:
+			event.SpillEnded.Log(&d.logger).Str("service", line.Service).Float64("load", line.Load).Send()
+		}
+	}
+	if kept := counts.Kept - last.counts.Kept; kept > 0 {
+		event.SpillKept.Log(&d.logger).Int64("requests", kept).Send()
+	}
+	return next
+}
+
 // otherRegion returns a function that reports whether a host is the VM of a daemon in another region.
 func (d *Daemon) otherRegion() func(host string) bool {
 	regions := d.regions()
--- a/monitor/event/catalogue.go
+++ b/monitor/event/catalogue.go
@@ -58,6 +58,9 @@
 	PathBroken    = warn(4301, "path-broken", "This daemon can't reach a member's data address and sends requests elsewhere.")
 	PathMended    = info(4302, "path-mended", "A member's data address can be reached again.")
 	RegionTraffic = info(4501, "region-traffic", "The bytes that this daemon has exchanged with other regions since its start, over connections that it dialled, by kind of traffic.")
+	SpillBegan    = info(4502, "spill-began", "The backend servers of a service in this region are full: light requests, and later heavy ones, go to another region, within this daemon's part of the link's share.")
+	SpillEnded    = info(4503, "spill-ended", "The service has room in this region again; its requests stay here.")
+	SpillKept     = warn(4504, "spill-kept", "Requests that another region could have served stayed in this one, or were refused, because this daemon's part of the link's share is used up; the settings' section regions states the share.")
 )
 
 // Members and backend servers.
--- a/monitor/status/status.go
+++ b/monitor/status/status.go
@@ -64,6 +64,19 @@
 	Members     []Member               `json:"members"`
 	Datacentres []Datacentre           `json:"datacentres"`
 	Backends    []picker.BackendStatus `json:"backends"`
+	// Spill is what has left the region from this daemon; nil in a fleet with one region.
+	Spill *Spill `json:"spill,omitempty"`
+}
+
+// Spill is what has left a daemon's region since its start.
+type Spill struct {
+	Region string `json:"region"`
+	// Requests and Bytes have left, with their answers; Kept is the number of requests that stayed for lack of this
+	// daemon's part of the link's share.
+	Requests int64                 `json:"requests"`
+	Bytes    int64                 `json:"bytes"`
+	Kept     int64                 `json:"kept"`
+	Services []picker.RegionStatus `json:"services"`
 }
 
 // Fetch reads the status of the daemon whose operators' port is at baseURL. Its error wraps ErrUnreadable.
@@ -103,6 +116,15 @@
 	for _, d := range s.Datacentres {
 		writeRow(t, d.Name, d.Region, inOrOut(d.InService), strconv.Itoa(d.Members), strconv.Itoa(d.Backends))
 	}
+	if s.Spill != nil {
+		writeRow(t)
+		writeRow(t, "REGION", "LEFT IT", "BYTES", "KEPT")
+		writeRow(t, s.Spill.Region, strconv.FormatInt(s.Spill.Requests, 10), strconv.FormatInt(s.Spill.Bytes, 10), strconv.FormatInt(s.Spill.Kept, 10))
+		writeRow(t, "SERVICE", "LOAD IN REGION", "LET OUT")
+		for _, line := range s.Spill.Services {
+			writeRow(t, line.Service, strconv.FormatFloat(line.Load, 'f', 2, 64), strconv.FormatFloat(line.Fraction, 'f', 2, 64))
+		}
+	}
 	writeRow(t)
 	writeRow(t, "BACKEND", "SERVICE", "DATA CENTRE", "STATE", "REASON", "IN USE", "QUEUED", "LIMIT")
 	for _, b := range s.Backends {
