--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -18,6 +18,8 @@
 	"berylpass/ingress"
 	"berylpass/leg"
 	"berylpass/limit/enforcer"
+	"berylpass/mesh/crossing"
+	"berylpass/mesh/link"
 	"berylpass/monitor/event"
 	platformbackend "berylpass/platform/backend"
 	platformcaller "berylpass/platform/caller"
@@ -54,6 +56,7 @@
 		client.WithTimeout(d.settings.Platform.Timeout),
 		client.WithOnUnreadable(d.objectUnreadable),
 		client.WithOnCall(d.storeCalled),
+		client.WithDial(d.traffic.Dial(crossing.Store, link.New(client.DefaultTimeout).Dialer().DialContext)),
 	}
 	if d.onPlatform() {
 		options = append(options, client.WithAttempts(platformStoreAttempts))
--- a/daemon/regions.go
+++ b/daemon/regions.go
@@ -130,6 +130,11 @@
 		line = line.Int64(kind.String()+"-connections", t.Connections).
 			Int64(kind.String()+"-sent", t.Sent).Int64(kind.String()+"-received", t.Received)
 	}
+	// Where the store stands isn't known; all traffic with it is reported.
+	store := d.traffic.Totals(func(string) bool { return true })[crossing.Store]
+	metrics.GetOrRegisterGauge(`store-bytes{direction="sent"}`, d.metrics).Update(store.Sent)
+	metrics.GetOrRegisterGauge(`store-bytes{direction="received"}`, d.metrics).Update(store.Received)
+	line = line.Int64("store-sent", store.Sent).Int64("store-received", store.Received)
 	if log {
 		line.Send()
 	}
--- a/mesh/crossing/crossing.go
+++ b/mesh/crossing/crossing.go
@@ -32,10 +32,12 @@
 	// Requests are callers' requests and calls of backend servers on their way to a guard,
 	// with their answers.
 	Requests
+	// Store is calls to the platform's store.
+	Store
 	kindCount
 )
 
-var kinds = [...]string{"control", "requests"}
+var kinds = [...]string{"control", "requests", "store"}
 
 // String returns the kebab-case name of the kind.
 func (k Kind) String() string { return kinds[k] }
