--- a/choice/picker/hedge.go
+++ b/choice/picker/hedge.go
@@ -72,7 +72,7 @@
 	if len(candidates) == 0 {
 		return "", fmt.Errorf("%w of service %q is free for a hedge", ErrNoBackend, req.Service)
 	}
-	return p.lessLoaded(now, candidates).backend.ID, nil
+	return p.lessLoaded(now, candidates, req.Class).backend.ID, nil
 }
 
 // hasSpareRoom reports whether the load of the active servers is at most maxHedgedLoad.
--- a/choice/picker/region.go
+++ b/choice/picker/region.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"berylpass/attempt/id"
 	"berylpass/choice/spill"
 )
 
@@ -17,6 +18,10 @@
 // regions make no difference.
 func WithRegions(s *spill.Spill) Option { return func(p *Picker) { p.spill = s } }
 
+// WithOwnRegion returns an Option that names the region of this ingress. Without it the name is learnt from backend servers
+// there.
+func WithOwnRegion(name string) Option { return func(p *Picker) { p.region = name } }
+
 // mayServe reports whether the request may run at s: s is neither excluded nor outside the home regions.
 func (r Request) mayServe(s *server) bool {
 	return !slices.Contains(r.Exclude, s.backend.ID) && (r.HomeRegions == nil || slices.Contains(r.HomeRegions, s.region))
@@ -57,7 +62,7 @@
 		}
 	}
 	var local *server
-	q := spill.Request{Bytes: req.BodyBytes, LargeAnswer: req.LargeAnswer, Here: math.Inf(1)}
+	q := spill.Request{Bytes: req.BodyBytes, LargeAnswer: req.LargeAnswer, Tried: len(req.Exclude) > 0, Here: math.Inf(1)}
 	if len(here) > 0 {
 		local = p.chooseAmong(now, here, req)
 		q.Here = p.expectedLoad(now, local)
@@ -65,9 +70,9 @@
 	if len(there) == 0 {
 		return local, nil
 	}
-	abroad := p.lessLoaded(now, there)
+	abroad := p.lessLoaded(now, there, req.Class)
 	q.There = abroad.penalizedLoad(now)
-	q.Forced = local == nil && req.HomeRegions != nil && !p.isHome(req)
+	q.Forced = local == nil && req.HomeRegions != nil && p.region != "" && !p.isHome(req)
 	if !p.spill.Allow(now, req.Service, q) {
 		if local == nil {
 			return nil, fmt.Errorf("%w in this region of service %q, and no more may leave it", ErrNoBackend, req.Service)
@@ -75,7 +80,9 @@
 		return local, nil
 	}
 	p.spill.Left()
-	if !q.Forced {
+	if q.Forced {
+		abroad.forcedPicks++
+	} else {
 		p.spill.Charge(now, crossingBytes+req.BodyBytes)
 	}
 	return abroad, nil
@@ -89,7 +96,7 @@
 	case p.localFirst:
 		return p.pickLocalFirst(now, servers, req)
 	}
-	return p.lessLoaded(now, servers)
+	return p.lessLoaded(now, servers, req.Class)
 }
 
 // isHome reports whether the request may run in the region of this ingress.
@@ -106,17 +113,42 @@
 	return max(s.penalizedLoad(now), p.spill.Load(now, s.backend.Service)+1/float64(s.slots()))
 }
 
-// observeRegion passes a report of a guard in the own region to the spill.
+// observeRegion passes the average load of the region's backend servers to the spill after a report from one of them. Each
+// counts once, by its last report: a full one answers soonest, with a refusal, and would count most otherwise.
 func (p *Picker) observeRegion(now time.Time, s *server) {
-	if p.spill != nil && s.sameRegion && s.report.Limit > 0 {
-		p.spill.Observe(now, s.backend.Service, float64(s.report.InUse+s.report.Queued)/float64(s.report.Limit))
+	if p.spill == nil || !s.sameRegion {
+		return
+	}
+	sum, known := 0.0, 0
+	for _, peer := range s.group.servers {
+		if peer.sameRegion && peer.report.Limit > 0 && now.Sub(peer.reportAt) <= loadDecayTime {
+			sum += float64(peer.report.InUse+peer.report.Queued) / float64(peer.report.Limit)
+			known++
+		}
+	}
+	if known > 0 {
+		p.spill.Observe(now, s.backend.Service, sum/float64(known))
+	}
+}
+
+// isForced reports whether an attempt in flight was sent to another region because the request must not run in this one.
+func (s *server) isForced(attempt id.ID) bool {
+	return slices.ContainsFunc(s.inFlight, func(f inFlightAttempt) bool { return f.attempt == attempt && f.forced })
+}
+
+// takeForcedPick reports whether an attempt that begins at s is one that PickFor was forced to send there.
+func (s *server) takeForcedPick() bool {
+	if s.forcedPicks == 0 {
+		return false
 	}
+	s.forcedPicks--
+	return true
 }
 
-// chargeAnswer charges the bytes of an answer that came from another region.
-func (p *Picker) chargeAnswer(now time.Time, s *server, bytes int) {
-	if p.spill != nil && !s.sameRegion && bytes > 0 {
-		p.spill.Charge(now, bytes)
+// chargeAnswer charges the bytes of an answer that came from another region, unless its attempt was forced to go there.
+func (p *Picker) chargeAnswer(now time.Time, s *server, e AttemptEnded) {
+	if p.spill != nil && !s.sameRegion && e.AnswerBytes > 0 && !s.isForced(e.Attempt) {
+		p.spill.Charge(now, e.AnswerBytes)
 	}
 }
 
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -171,6 +171,7 @@
 		RetryBudget:       d.retries,
 		Hedges:            d.hedges(),
 		RepeatProbability: d.guard.RepeatProbability,
+		PromptAttempts:    d.promptAttempts(),
 		Ranked:            d.onPlatform(),
 		RankOfCall:        d.guard.RankOfCall,
 	})
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -24,7 +24,7 @@
 // a guard refuses.
 const maxDispatches = 7
 
-// The first promptDispatches attempts of a request are marked prompt if its body is at
+// The first promptDispatches attempts of a request, or Parts.PromptAttempts, are marked prompt if its body is at
 // most promptBody bytes: a busy guard refuses a prompt attempt at once. Later attempts
 // queue at the guard, as do those with a larger body, which costs more to send again
 // than a short wait does.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -160,6 +160,8 @@
 	// a run on this VM's backend server that is itself a repetition, judged by the
 	// deadline and the service of the request. A nil RepeatProbability counts as 0.
 	RepeatProbability func(deadline time.Time, service string) float64
+	// PromptAttempts is the number of first attempts of a request that a busy guard refuses rather than queues; 2 if zero.
+	PromptAttempts int
 	// Ranked reports whether the priorities of routes and organisations rank requests.
 	Ranked bool
 	// RankOfCall returns the rank of a request without a key, and true if a run on this VM's backend server makes
@@ -196,6 +198,9 @@
 	if parts.RepeatProbability == nil {
 		parts.RepeatProbability = func(time.Time, string) float64 { return 0 }
 	}
+	if parts.PromptAttempts == 0 {
+		parts.PromptAttempts = promptDispatches
+	}
 	if parts.Random == nil {
 		parts.Random = rand.Float64
 	}
