--- a/answer/answer.go
+++ b/answer/answer.go
@@ -71,6 +71,15 @@
 	// length is the Content-Length, unknownLength if there is none.
 	length  int64
 	chunked bool
+	// reserve is called with the number of bytes before memory for a body is taken; nil for none.
+	reserve func(bytes int64) error
+}
+
+// WithReserve returns a copy whose ReadBody calls reserve with a number of bytes before it takes
+// memory for them, and returns its error.
+func (h Head) WithReserve(reserve func(bytes int64) error) Head {
+	h.reserve = reserve
+	return h
 }
 
 // unknownLength is the length of a body without a Content-Length.
@@ -90,30 +99,36 @@
 }
 
 // ReadBody reads the whole body of an answer to a request with the method, of at most
-// maxBytes bytes. Its errors wrap ErrMalformed or ErrTooLarge or are those of in; a body that
+// maxBytes bytes. Its errors wrap ErrMalformed or ErrTooLarge or are those of in or of reserve; a body that
 // ends early is io.ErrUnexpectedEOF.
 func (h Head) ReadBody(in *bufio.Reader, method string, maxBytes int64) ([]byte, error) {
+	if h.reserve == nil {
+		h.reserve = func(int64) error { return nil }
+	}
 	switch h.Ending(method) {
 	case ByLength:
 		if h.length > maxBytes {
 			return nil, ErrTooLarge
 		}
+		if err := h.reserve(h.length); err != nil {
+			return nil, err
+		}
 		body := make([]byte, h.length)
 		if _, err := io.ReadFull(in, body); err != nil {
 			return nil, unexpected(err)
 		}
 		return body, nil
 	case ByChunks:
-		return readChunks(in, maxBytes)
+		return readChunks(in, maxBytes, h.reserve)
 	case ByClose:
-		body, err := io.ReadAll(io.LimitReader(in, maxBytes+1))
-		if err != nil {
+		body := growing{reserve: h.reserve}
+		if err := body.readAll(in, maxBytes+1); err != nil {
 			return nil, err
 		}
-		if int64(len(body)) > maxBytes {
+		if int64(len(body.bytes)) > maxBytes {
 			return nil, ErrTooLarge
 		}
-		return body, nil
+		return body.bytes, nil
 	}
 	return nil, nil
 }
