choice/picker: the floor's share holds for the service as a whole

Cause: the share was applied to each region by itself. A region has few backend servers of a service; whenever several fail there by chance, the share kept failing ones in use although the service had enough sound ones. Change: each region keeps one backend server at least and makes up its own capacity; the share then holds for the whole service. Test: TestFloorHoldsForTheServiceAsAWhole, seen to fail with the share in each region; TestFloorHoldsInEachHomeRegion holds.

--- a/choice/picker/region_test.go
+++ b/choice/picker/region_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -256,3 +257,25 @@
 		t.Errorf("got %q, %v; want a backend server of the home region", chosen, err)
 	}
 }
+
+// TestFloorHoldsForTheServiceAsAWhole lets half the backend servers of the own region fail, while all of the other region are
+// sound. The floor's share is reached by those that are sound in both, so none that fails stays in use here.
+func TestFloorHoldsForTheServiceAsAWhole(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := newRegionPicker(now, 6, WithRegions(ratedSpill(1e7)))
+	p.Update(now, ServiceUpdated{Service: service.New("rounds").WithRamp(0).WithFloor(0.7)})
+	failing := []backend.ID{"i-00", "i-02", "i-04"}
+	for _, name := range failing {
+		p.Update(now, ReportReceived{Backend: name, Report: report.Report{Breaker: breaker.Open, BreakerScore: 9, Limit: 4}})
+	}
+	for range 200 {
+		if chosen, err := p.PickFor(now, Request{Service: "rounds"}); err != nil || slices.Contains(failing, chosen) {
+			t.Fatalf("got %q, %v; want a sound backend server", chosen, err)
+		}
+	}
+	for _, name := range failing {
+		if p.Forced(name) {
+			t.Errorf("%s stays in use", name)
+		}
+	}
+}
--- a/choice/picker/table.go
+++ b/choice/picker/table.go
@@ -120,8 +120,9 @@
 	scratch     peerLevels
 	// usualTimes are the medians of the service times by class in nanoseconds, as of the last evaluation; 0 if unknown.
 	usualTimes [class.Count]float64
-	// byRegion applies the floor to each region by itself, so that a region's own capacity is made up before requests
-	// leave it, and requests that are at home there only find some.
+	// byRegion keeps at least one server of each region in use and makes up each region's own capacity, before requests
+	// leave it. The floor's share holds for the service as a whole: that of a region with few servers would keep more
+	// failing ones in use whenever several fail there by chance.
 	byRegion bool
 	// candidates is memory that rebuild uses again.
 	candidates []floor.Candidate
@@ -161,11 +162,10 @@
 	}
 	if g.byRegion {
 		for _, region := range g.regions() {
-			g.applyFloor(func(s *server) bool { return s.region == region })
+			g.applyFloor(floor.New(0), func(s *server) bool { return s.region == region })
 		}
-	} else {
-		g.applyFloor(func(*server) bool { return true })
 	}
+	g.applyFloor(floor.New(g.service.Floor), func(*server) bool { return true })
 	g.active, g.trials, g.tripped = g.active[:0], g.trials[:0], g.tripped[:0]
 	for _, s := range g.servers {
 		switch {
@@ -190,14 +190,17 @@
 	return regions
 }
 
-// applyFloor activates those of the given servers with a severity that the floor or a lack of capacity keeps in use.
-func (g *group) applyFloor(of func(*server) bool) {
+// applyFloor activates those of the given servers with a severity that the floor or a lack of capacity keeps in use. Those
+// that are active already count as if they had none.
+func (g *group) applyFloor(least floor.Floor, of func(*server) bool) {
 	candidates := g.candidates[:0]
 	demand, severe := 0.0, false
 	for _, s := range g.servers {
 		if s.serving() && of(s) {
-			c := floor.Candidate{ID: s.backend.ID, Slots: s.slots(), Severity: s.severity()}
-			severe = severe || c.Severity > 0
+			c := floor.Candidate{ID: s.backend.ID, Slots: s.slots()}
+			if !s.active {
+				c.Severity, severe = s.severity(), true
+			}
 			candidates = append(candidates, c)
 			demand += s.outstanding(g.evaluatedAt)
 		}
@@ -207,7 +210,7 @@
 		return
 	}
 	inUse := 0
-	for _, c := range floor.New(g.service.Floor).Keep(candidates) {
+	for _, c := range least.Keep(candidates) {
 		if c.Severity > 0 {
 			g.find(c.ID).active = true
 		}
