choice/picker: a full region sends away rather than uses failing servers

Cause: a region whose sound backend servers were full kept failing ones in use for its demand, although the other region had room. Change: capacity is made up by failing servers only if the service as a whole lacks it; a region's load counts those in use. Test: TestFullRegionSendsAwayRatherThanUsesFailingServers, seen to fail without each of the two.

--- a/choice/picker/region.go
+++ b/choice/picker/region.go
@@ -113,15 +113,15 @@
 	return max(s.penalizedLoad(now), p.spill.Load(now, s.backend.Service)+1/float64(s.slots()))
 }
 
-// observeRegion passes the average load of the region's backend servers to the spill after a report from one of them. Each
-// counts once, by its last report: a full one answers soonest, with a refusal, and would count most otherwise.
+// observeRegion passes the average load of the region's backend servers in use to the spill after a report from one of them.
+// Each counts once, by its last report: a full one answers soonest, with a refusal, and would count most otherwise.
 func (p *Picker) observeRegion(now time.Time, s *server) {
 	if p.spill == nil || !s.sameRegion {
 		return
 	}
 	sum, known := 0.0, 0
 	for _, peer := range s.group.servers {
-		if peer.sameRegion && peer.report.Limit > 0 && now.Sub(peer.reportAt) <= loadDecayTime {
+		if peer.sameRegion && peer.active && peer.report.Limit > 0 && now.Sub(peer.reportAt) <= loadDecayTime {
 			sum += float64(peer.report.InUse+peer.report.Queued) / float64(peer.report.Limit)
 			known++
 		}
--- a/choice/picker/region_test.go
+++ b/choice/picker/region_test.go
@@ -258,6 +258,41 @@
 	}
 }
 
+// TestFullRegionSendsAwayRatherThanUsesFailingServers fills the sound half of the own region's backend servers while the
+// other half fails: what has no room may leave, and the failing ones stay out of use.
+func TestFullRegionSendsAwayRatherThanUsesFailingServers(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := newRegionPicker(now, 6, WithRegions(ratedSpill(1e7)))
+	p.Update(now, ServiceUpdated{Service: service.New("rounds").WithRamp(0).WithFloor(0.5)})
+	left, forced := 0, 0
+	for n := range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		for i, s := range p.groupOrder[0].servers[:6] {
+			r := report.Report{InUse: 4, Queued: 4, Limit: 4}
+			if i%2 == 0 {
+				r = report.Report{Breaker: breaker.Open, BreakerScore: 9, Limit: 4}
+			}
+			p.Update(now, ReportReceived{Backend: s.backend.ID, Report: r})
+		}
+		if n%10 == 0 {
+			p.Update(now, Tick{})
+		}
+		chosen, err := p.PickFor(now, Request{Service: "rounds", Exclude: []backend.ID{"i-01"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !p.servers[chosen].sameRegion {
+			left++
+		}
+		if p.Forced(chosen) {
+			forced++
+		}
+	}
+	if left < 500 || forced > 0 {
+		t.Errorf("%d of 1000 requests left, %d went to a failing backend server; want most, and none", left, forced)
+	}
+}
+
 // TestFloorHoldsForTheServiceAsAWhole lets half the backend servers of the own region fail, while all of the other region are
 // sound. The floor's share is reached by those that are sound in both, so none that fails stays in use here.
 func TestFloorHoldsForTheServiceAsAWhole(t *testing.T) {
--- a/choice/picker/table.go
+++ b/choice/picker/table.go
@@ -120,9 +120,9 @@
 	scratch     peerLevels
 	// usualTimes are the medians of the service times by class in nanoseconds, as of the last evaluation; 0 if unknown.
 	usualTimes [class.Count]float64
-	// byRegion keeps at least one server of each region in use and makes up each region's own capacity, before requests
-	// leave it. The floor's share holds for the service as a whole: that of a region with few servers would keep more
-	// failing ones in use whenever several fail there by chance.
+	// byRegion keeps at least one server of each region in use. The floor's share and the demand hold for the service as a
+	// whole: those of a region with few servers would keep more failing ones in use whenever several fail there by chance,
+	// and light requests that leave cost less than failed ones.
 	byRegion bool
 	// candidates is memory that rebuild uses again.
 	candidates []floor.Candidate
@@ -162,10 +162,10 @@
 	}
 	if g.byRegion {
 		for _, region := range g.regions() {
-			g.applyFloor(floor.New(0), func(s *server) bool { return s.region == region })
+			g.applyFloor(floor.New(0), 0, func(s *server) bool { return s.region == region })
 		}
 	}
-	g.applyFloor(floor.New(g.service.Floor), func(*server) bool { return true })
+	g.applyFloor(floor.New(g.service.Floor), demandMargin, func(*server) bool { return true })
 	g.active, g.trials, g.tripped = g.active[:0], g.trials[:0], g.tripped[:0]
 	for _, s := range g.servers {
 		switch {
@@ -191,8 +191,8 @@
 }
 
 // applyFloor activates those of the given servers with a severity that the floor or a lack of capacity keeps in use. Those
-// that are active already count as if they had none.
-func (g *group) applyFloor(least floor.Floor, of func(*server) bool) {
+// that are active already count as if they had none. The capacity that is kept in use is the given multiple of the demand.
+func (g *group) applyFloor(least floor.Floor, margin float64, of func(*server) bool) {
 	candidates := g.candidates[:0]
 	demand, severe := 0.0, false
 	for _, s := range g.servers {
@@ -216,7 +216,7 @@
 		}
 		inUse += c.Slots
 	}
-	g.activateTripped(of, demand*demandMargin-float64(inUse))
+	g.activateTripped(of, demand*margin-float64(inUse))
 }
 
 // activateTripped activates those of the given backend servers that only their breakers exclude, in ascending order of
