roster, pool: scattered deaths are no loss of a region

Change: a region counts as lost, and its dead holders stay holders, only if its share of dead is twice that of the own region. Test: TestScatteredDeathsAreNoLossOfARegion, seen to fail without the condition.

--- a/fleet/roster/region.go
+++ b/fleet/roster/region.go
@@ -16,9 +16,11 @@
 	// lossShare is the share of another region's members, of those that did not depart, from which their deaths count as
 	// the loss of the region or of the link. All daemons then probe members of all regions, because the few that bridges
 	// probe would be declared dead one after the other.
-	// The loss ends when the share has fallen to recoveryShare.
+	// The loss ends when the share has fallen to recoveryShare. Deaths that are as frequent in the own region, by up to
+	// commonFactor, have another cause.
 	lossShare     = 0.125
 	recoveryShare = 0.05
+	commonFactor  = 2
 )
 
 // WithRegions returns an Option that keeps probes and gossip within the regions, which are given by data centre. Only
@@ -68,9 +70,10 @@
 // reports whether any is.
 func (t *table) someRegionLost(own string, alive map[string][]*memberRow, dead map[string]int) bool {
 	lost := map[string]bool{}
-	for region, n := range dead {
-		share := float64(n) / float64(n+len(alive[region]))
-		if region != own && (share >= lossShare || share > recoveryShare && t.lostRegions[region]) {
+	share := func(region string) float64 { return float64(dead[region]) / float64(dead[region]+len(alive[region])) }
+	for region := range dead {
+		share, here := share(region), share(own)
+		if region != own && share > commonFactor*here && (share >= lossShare || share > recoveryShare && t.lostRegions[region]) {
 			lost[region] = true
 		}
 	}
--- a/fleet/roster/region_test.go
+++ b/fleet/roster/region_test.go
@@ -176,3 +176,31 @@
 	}
 	t.Logf("the loss of a region noticed after %v", waitUntilConverged(t, n))
 }
+
+// TestScatteredDeathsAreNoLossOfARegion checks that deaths that are as frequent in both regions leave probes and gossip within
+// the regions, while as many in the other region alone count as its loss, and that the loss ends late.
+func TestScatteredDeathsAreNoLossOfARegion(t *testing.T) {
+	n := newRegionalFleet(t, 96, true)
+	r := n.hosts["vm-000"].roster
+	kill := func(region string, share float64) {
+		number := 0
+		for i, id := range n.order {
+			if row := r.table.members[id]; i > 0 && n.places[row.delta.Datacentre] == region {
+				row.delta.State = uint8(member.Serving)
+				if number++; float64(number) <= 48*share {
+					row.delta.State = uint8(member.Dead)
+				}
+			}
+		}
+	}
+	for _, step := range []struct {
+		east, west float64
+		regional   bool
+	}{{0, 0, true}, {0.3, 0.3, true}, {0, 0.3, false}, {0, 0.08, false}, {0, 0.04, true}, {0, 0.08, true}, {0.3, 1, false}} {
+		kill("east", step.east)
+		kill("west", step.west)
+		if _, _, ok := r.table.regionalSuccessors(r.self); ok != step.regional {
+			t.Errorf("%.2f of the own and %.2f of the other region dead: within the regions %v, want %v", step.east, step.west, ok, step.regional)
+		}
+	}
+}
