rollout: orders move a service to a new version, by steps and with bounded exposure

Change: rollout/order, exposure (what a daemon may use), tally (what a guard counts), evidence (new against old, by route), conductor (steps and verdict), participant (the calls). The list of orders is read and passed on with the proof of freshness; states are written under the object's revision. Chooser and guard ask before a version is used. On only where the settings bound the exposure, so other deployments are as before. Ruled out: grants that count down at each guard: most tries of a small share would have been refused there. A step kept in the store: a write per step.

--- a/choice/chooser/chooser.go
+++ b/choice/chooser/chooser.go
@@ -77,6 +77,8 @@
 	Prober   Prober
 	// Picker lists the options of the picker.
 	Picker []picker.Option
+	// Versions decides which versions may be used; nil if all may.
+	Versions Versions
 }
 
 // Chooser chooses backend servers for one ingress. It is safe for concurrent use.
@@ -90,6 +92,7 @@
 	picker   *picker.Picker
 	snapshot snapshot.Snapshot
 	targets  map[backend.ID]Target
+	trials   trials
 }
 
 // New returns a running Chooser without backend servers. The caller must call Close.
@@ -102,6 +105,7 @@
 		picker:   picker.New(options.Seed, options.Picker...),
 		snapshot: snapshot.New(0),
 		targets:  map[backend.ID]Target{},
+		trials:   newTrials(options.Seed),
 	}
 	c.wait.Go(func() {
 		ticker := time.NewTicker(tickInterval)
@@ -148,6 +152,7 @@
 	defer c.mu.Unlock()
 	if b.State == backend.Gone {
 		delete(c.targets, b.ID)
+		c.trials.remove(b.ID)
 		c.picker.Update(now, picker.BackendRemoved{ID: b.ID})
 		return
 	}
@@ -171,6 +176,7 @@
 		t := c.targets[known]
 		if guard.State == member.Dead {
 			delete(c.targets, known)
+			c.trials.remove(known)
 			c.picker.Update(now, picker.BackendRemoved{ID: known})
 			continue
 		}
@@ -182,9 +188,12 @@
 
 // Pick returns a backend server for the request that w describes. Its error wraps picker.ErrNoBackend.
 func (c *Chooser) Pick(r picker.Request) (Target, error) {
-	now := c.options.Clock()
+	now, trial := c.options.Clock(), c.trialOf(r.Service)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if t, ok := c.pickOnTrial(now, r, trial); ok {
+		return t, nil
+	}
 	chosen, err := c.picker.PickFor(now, r)
 	if err != nil {
 		return Target{}, err
@@ -233,14 +242,15 @@
 // updateTarget passes the state of a target to the picker. The caller must hold c.mu.
 func (c *Chooser) updateTarget(now time.Time, t Target) {
 	region, own := c.snapshot.Datacentres[t.Guard.Datacentre].Region, c.snapshot.Datacentres[c.options.Self.Datacentre].Region
+	b, usable := c.versioned(now, t, t.Guard.State != member.Leaving && c.snapshot.InService(t.Guard.Datacentre))
 	c.picker.Update(now, picker.BackendUpdated{
-		Backend:        t.Backend,
+		Backend:        b,
 		Region:         region,
 		SameRegion:     region == own,
 		Datacentre:     t.Guard.Datacentre,
 		SameDatacentre: t.Guard.Datacentre == c.options.Self.Datacentre,
 		SameVM:         t.Guard.ID == c.options.Self.ID,
-		InService:      t.Guard.State != member.Leaving && c.snapshot.InService(t.Guard.Datacentre),
+		InService:      usable,
 	})
 }
 
--- a/config/revision/proof.go
+++ b/config/revision/proof.go
@@ -78,6 +78,8 @@
 	stored object.Object
 
 	outages outageList
+	// orders is nil unless WithOrders was given.
+	orders *orderList
 }
 
 // outageList is the list of the data centres out of service.
@@ -172,6 +174,7 @@
 	stored, err := f.store.Get(ctx, CurrentKey)
 	if err == nil {
 		f.readOutages(ctx)
+		f.readOrders(ctx)
 	}
 	f.mu.Lock()
 	p := f.proof
@@ -263,6 +266,7 @@
 	f.proof.claimed = f.proof.claimed.later(observation{revision: reply.Revision, at: start - reply.Age, known: true})
 	f.mu.Unlock()
 	f.applyOutages(outageList{names: reply.Outages, asOf: reply.OutagesAsOf, at: start - reply.OutagesAge})
+	f.takeOrders(reply.Orders, reply.OrdersAsOf, start-reply.OrdersAge)
 }
 
 // ownProof returns the proof that this daemon gives to peers.
@@ -274,8 +278,12 @@
 	defer f.mu.Unlock()
 	age, known := f.proofAge()
 	outages := f.proof.outages
-	return Proof{
+	p := Proof{
 		Known: known, Age: age, Revision: f.applied.Load().snapshot.Revision,
 		Outages: outages.names, OutagesAsOf: outages.asOf, OutagesAge: f.proof.uptime() - outages.at,
 	}
+	if l := f.proof.orders; l != nil {
+		p.Orders, p.OrdersAsOf, p.OrdersAge = l.orders, l.asOf, f.proof.uptime()-l.at
+	}
+	return p
 }
--- a/config/revision/receiver.go
+++ b/config/revision/receiver.go
@@ -5,6 +5,7 @@
 
 	"berylpass/fleet/member"
 	"berylpass/mesh"
+	"berylpass/rollout/order"
 )
 
 // Names of the net/rpc service and its methods.
@@ -38,6 +39,11 @@
 	Outages     []string
 	OutagesAsOf uint64
 	OutagesAge  time.Duration
+	// Orders holds the roll-out orders, OrdersAsOf the store's version as of which the list holds
+	// (0 if it is unknown), and OrdersAge the time since the list was read.
+	Orders     []order.Order
+	OrdersAsOf uint64
+	OrdersAge  time.Duration
 }
 
 // Request asks for the manifest, or for a chunk.
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -32,6 +32,7 @@
 	// Owners are the trusted public keys by the owner's name; none in the platform's dialect.
 	Owners   map[string]ed25519.PublicKey
 	Limits   Limits
+	Rollout  Rollout
 	Shutdown Shutdown
 	TLS      TLS
 	Log      Log
@@ -97,6 +98,14 @@
 	CallerConnections int
 }
 
+// Rollout is the section [rollout]: bounds on the requests that a new version of a service may get before it is proven.
+type Rollout struct {
+	// ExposureShare is the share, from 0 to 1, of a service's requests from the order to its deadline; 0 if services are
+	// not moved to new versions by orders. ExposureSlack is the number of requests in addition.
+	ExposureShare float64
+	ExposureSlack int
+}
+
 // Shutdown is the section [shutdown]. Grace is how long requests in flight may go on after
 // SIGTERM, less Reserve, the last part of it in which the daemon must have ended.
 type Shutdown struct{ Grace, Reserve time.Duration }
--- a/config/settings/table.go
+++ b/config/settings/table.go
@@ -98,6 +98,12 @@
 		field.Integer("caller-connections", 1, 1000000, func(s *Settings) *int { return &s.Limits.CallerConnections }).
 			WithDefault("20000").WithMeaning("Largest number of callers' connections open at once; further ones are closed."),
 	}},
+	{"rollout", field.Table[Settings]{
+		field.Share("exposure-share", func(s *Settings) *float64 { return &s.Rollout.ExposureShare }).
+			WithDefault("0").WithMeaning("Share of a service's requests that an unproven new version may get from the order to its deadline; with 0, orders are not carried out."),
+		field.Integer("exposure-slack", 0, 1000000, func(s *Settings) *int { return &s.Rollout.ExposureSlack }).
+			WithDefault("0").WithMeaning("Number of requests that an unproven new version may get in addition."),
+	}},
 	{"shutdown", field.Table[Settings]{
 		field.Duration("grace", 0, time.Hour, func(s *Settings) *time.Duration { return &s.Shutdown.Grace }).
 			WithDefault("30s").WithMeaning("Time for requests in flight to end after SIGTERM, before the daemon exits anyway."),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -38,6 +38,7 @@
 	"berylpass/monitor/burn"
 	"berylpass/monitor/event"
 	"berylpass/monitor/version"
+	"berylpass/rollout/participant"
 )
 
 // Daemon is one running process of the fleet.
@@ -73,7 +74,11 @@
 	departures *keeper.Keeper
 	// recovery is nil until it has been started, and in berylpass's own dialect.
 	recovery atomic.Pointer[departureRecovery]
-	ingress  *ingress.Ingress
+	// rollouts is nil unless the settings bound the exposure of new versions.
+	rollouts *participant.Participant
+	// startedChooser is chooser once that exists, nil before.
+	startedChooser atomic.Pointer[chooser.Chooser]
+	ingress        *ingress.Ingress
 	// startedIngress is ingress once that exists, nil before. Parts that start before the ingress use it.
 	startedIngress atomic.Pointer[ingress.Ingress]
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -107,6 +107,9 @@
 	options = append(options,
 		revision.WithProof(o, maxProofAge, uptime),
 		revision.WithOnStoreAnswered(func(since time.Time) { go d.members.StoreAnswered(since) }))
+	if d.rollouts != nil {
+		options = append(options, revision.WithOrders(o, d.rollouts.ListRead))
+	}
 	return revision.New(o, d.members, d.mesh, o, options...)
 }
 
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -30,6 +30,7 @@
 	"berylpass/mesh/meshkey"
 	"berylpass/monitor/event"
 	"berylpass/platform/client"
+	"berylpass/rollout/participant"
 	"berylpass/store/observed"
 )
 
@@ -47,6 +48,7 @@
 	earlier := d.readEarlierStarts(store)
 	d.self = d.self.WithIncarnation(earlier.Incarnation)
 	d.countLiveDaemons(d.self)
+	d.startRollouts(platform)
 	d.startGuard(store)
 	if err := d.startDataPort(); err != nil {
 		return trace.Wrap(err)
@@ -96,8 +98,9 @@
 	d.onClose(d.limits.Close)
 	d.control = control.New(d.self, d.mesh, d.clock)
 	d.chooser = chooser.New(chooser.Options{
-		Self: d.self, Seed: d.self.Incarnation, Clock: d.clock, Observer: d.observer, Prober: d.control, Picker: d.pickerOptions(),
+		Self: d.self, Seed: d.self.Incarnation, Clock: d.clock, Observer: d.observer, Prober: d.control, Picker: d.pickerOptions(), Versions: d.chooserVersions(),
 	})
+	d.startedChooser.Store(d.chooser)
 	d.onClose(d.chooser.Close)
 	d.guard = guard.New(d.self, guard.Parts{
 		Configuration:  &d.configuration,
@@ -105,6 +108,7 @@
 		Limit:          d.limits,
 		Observer:       d.observer,
 		Departures:     d.newDepartures(store),
+		Versions:       d.guardVersions(),
 		Clock:          d.clock,
 		MaxQueued:      d.settings.Limits.QueuePerBackend,
 		SilenceLimit:   d.silenceLimit(),
@@ -184,6 +188,11 @@
 			return fmt.Errorf("register %s: %w", r.name, err)
 		}
 	}
+	if d.rollouts != nil {
+		if err := d.mesh.Register(participant.ServiceName, d.rollouts.Receiver()); err != nil {
+			return fmt.Errorf("register %s: %w", participant.ServiceName, err)
+		}
+	}
 	if d.departures == nil {
 		return nil
 	}
@@ -320,6 +329,7 @@
 
 // localBackendChanged passes the new state of a backend server on this VM to the chooser and the fleet.
 func (d *Daemon) localBackendChanged(b backend.Backend) {
+	d.versionSeen(b)
 	d.chooser.SetBackend(b, d.self)
 	d.members.Announce(b)
 }
@@ -331,6 +341,7 @@
 	if !ok {
 		return
 	}
+	d.versionSeen(b)
 	d.chooser.SetBackend(b, guardMember)
 }
 
--- a/daemon/views.go
+++ b/daemon/views.go
@@ -8,6 +8,7 @@
 
 	"berylpass/config/revision"
 	"berylpass/config/snapshot"
+	"berylpass/fleet/backend"
 	"berylpass/fleet/member"
 	"berylpass/fleet/membership"
 	"berylpass/ingress"
@@ -41,6 +42,14 @@
 	return nil
 }
 
+// Backends returns the backend servers of a service; none before the membership has been started.
+func (v *fleetView) Backends(service string) []backend.Backend {
+	if m := v.members.Load(); m != nil {
+		return m.Backends(service)
+	}
+	return nil
+}
+
 // RecordsRead reports whether the member records in the store have been read.
 func (v *fleetView) RecordsRead() bool {
 	m := v.members.Load()
--- a/guard/attempt.go
+++ b/guard/attempt.go
@@ -126,6 +126,7 @@
 		}
 	}
 	g.calls.RecordRun(e.Route)
+	g.Versions.Started(e.Attempt, g.backends[e.Backend].Backend, e.Route)
 	return nil
 }
 
--- a/guard/check.go
+++ b/guard/check.go
@@ -77,6 +77,8 @@
 		return ReasonOtherService
 	case target.State != backend.Serving:
 		return ReasonDraining
+	case !g.Versions.Allows(target.Backend):
+		return ReasonVersion
 	}
 	return reasonNone
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -116,6 +116,8 @@
 	// Departures is nil if departures aren't kept. Otherwise the guard takes no backend server into
 	// service by a heartbeat before DeparturesKnown has been called.
 	Departures Departures
+	// Versions decides which versions may be used and is told of the requests to them; nil if all may.
+	Versions Versions
 	// Clock replaces time.Now unless it is nil.
 	Clock func() time.Time
 	// MayRepeatCall reports whether the retry budget of a service allows a call that counts as
@@ -170,6 +172,9 @@
 	if parts.SilenceLimit == 0 {
 		parts.SilenceLimit = announcement.SilenceLimit
 	}
+	if parts.Versions == nil {
+		parts.Versions = allVersions{}
+	}
 	if parts.MayRepeatCall == nil {
 		parts.MayRepeatCall = func(string) bool { return true }
 	}
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -107,6 +107,7 @@
 	res.took = g.Clock().Sub(start)
 	token.settle(res.ending)
 	finished := &gate.Finished{ID: a.envelope.Attempt, Verdict: g.verdict(start, verdictOf(ctx, res, err))}
+	g.Versions.Ended(a.envelope.Attempt, finished.Verdict)
 	g.finish(g.Clock(), a, res.ending != hop.NotRun, finished)
 	return res
 }
--- a/monitor/event/catalogue.go
+++ b/monitor/event/catalogue.go
@@ -49,14 +49,20 @@
 
 // Choice of backend servers.
 var (
-	Ejected       = warn(4001, "ejected", "A backend server was ejected because it serves worse than its peers; the reason field says in what way.")
-	Restored      = info(4002, "restored", "An ejected backend server gets requests again.")
-	FloorHeld     = warn(4003, "floor-held", "A backend server would be ejected, but stays in use because its service must keep a minimum share of its healthy capacity in use.")
-	BreakerOpened = warn(4004, "left-alone", "The circuit breaker of the backend server on this daemon's VM opened: it gets only trial requests until they succeed.")
-	BreakerClosed = info(4005, "taken-back", "The circuit breaker of the backend server on this daemon's VM closed after successful trial requests: it gets all requests again.")
-	QueueShed     = info(4201, "queue-shed", "A request was shed and refused as not run, for example because it could not finish in time; the reason field says why.")
-	PathBroken    = warn(4301, "path-broken", "This daemon can't reach a member's data address and sends requests elsewhere.")
-	PathMended    = info(4302, "path-mended", "A member's data address can be reached again.")
+	Ejected             = warn(4001, "ejected", "A backend server was ejected because it serves worse than its peers; the reason field says in what way.")
+	Restored            = info(4002, "restored", "An ejected backend server gets requests again.")
+	FloorHeld           = warn(4003, "floor-held", "A backend server would be ejected, but stays in use because its service must keep a minimum share of its healthy capacity in use.")
+	BreakerOpened       = warn(4004, "left-alone", "The circuit breaker of the backend server on this daemon's VM opened: it gets only trial requests until they succeed.")
+	BreakerClosed       = info(4005, "taken-back", "The circuit breaker of the backend server on this daemon's VM closed after successful trial requests: it gets all requests again.")
+	QueueShed           = info(4201, "queue-shed", "A request was shed and refused as not run, for example because it could not finish in time; the reason field says why.")
+	PathBroken          = warn(4301, "path-broken", "This daemon can't reach a member's data address and sends requests elsewhere.")
+	PathMended          = info(4302, "path-mended", "A member's data address can be reached again.")
+	RolloutStep         = info(4401, "rollout-step", "This daemon conducts the roll-out of a service and has taken it to the step in the step field; the counts are requests sent since it took the order up.")
+	RolloutRefused      = warn(4402, "rollout-refused", "The new version of a service is worse than the old one, as the reason field says, or another conductor found it so: it gets no more requests, and the order is rolled back.")
+	RolloutCompleted    = info(4403, "rollout-completed", "The order is completed: only the new version of the service gets requests.")
+	RolloutRolledBack   = warn(4404, "rollout-rolled-back", "The order is rolled back: its version never gets requests.")
+	RolloutStateWritten = info(4405, "rollout-state-written", "The state of an order was written to the store.")
+	RolloutStateFailed  = warn(4406, "rollout-state-failed", "The state of an order could not be written to the store, or the order has changed meanwhile: the daemon reads the order and tries again.")
 )
 
 // Members and backend servers.
--- a/monitor/status/status.go
+++ b/monitor/status/status.go
@@ -49,6 +49,18 @@
 	Backends  int    `json:"backends"`
 }
 
+// Rollout is the state of an operator's order to move a service to another version.
+type Rollout struct {
+	Service string `json:"service"`
+	// Target is the new version, State the state of the order as far as the daemon knows it.
+	Target string `json:"target"`
+	State  string `json:"state"`
+	// Step is the present step if the daemon conducts the order, else empty.
+	Step string `json:"step,omitempty"`
+	// Share is the share of the daemon's requests that goes to the new version while the order runs.
+	Share float64 `json:"share"`
+}
+
 // Status is the state of a daemon and its view of the fleet.
 type Status struct {
 	Daemon      string `json:"daemon"`
@@ -64,6 +76,7 @@
 	Members     []Member               `json:"members"`
 	Datacentres []Datacentre           `json:"datacentres"`
 	Backends    []picker.BackendStatus `json:"backends"`
+	Rollouts    []Rollout              `json:"rollouts,omitempty"`
 }
 
 // Fetch reads the status of the daemon whose operators' port is at baseURL. Its error wraps ErrUnreadable.
@@ -104,6 +117,13 @@
 		writeRow(t, d.Name, d.Region, inOrOut(d.InService), strconv.Itoa(d.Members), strconv.Itoa(d.Backends))
 	}
 	writeRow(t)
+	if len(s.Rollouts) > 0 {
+		writeRow(t, "ROLL-OUT", "NEW VERSION", "STATE", "STEP", "SHARE")
+		for _, r := range s.Rollouts {
+			writeRow(t, r.Service, r.Target, r.State, r.Step, strconv.FormatFloat(r.Share, 'f', 2, 64))
+		}
+		writeRow(t)
+	}
 	writeRow(t, "BACKEND", "SERVICE", "DATA CENTRE", "STATE", "REASON", "IN USE", "QUEUED", "LIMIT")
 	for _, b := range s.Backends {
 		writeRow(t, string(b.Backend), b.Service, b.Datacentre, b.State, b.Reason,
