--- a/config/revision/orders.go
+++ b/config/revision/orders.go
@@ -79,14 +79,15 @@
 	if asOf < l.asOf || asOf == l.asOf && at <= l.at {
 		return
 	}
-	next := slices.Clone(orders)
+	next, latest := slices.Clone(orders), max(at, l.at)
 	for i := range next {
+		next[i].Age += latest - at
 		for _, known := range l.orders {
 			if known.Key() == next[i].Key() {
-				next[i].Age = max(next[i].Age, known.Age+at-l.at)
+				next[i].Age = max(next[i].Age, known.Age+latest-l.at)
 			}
 		}
 	}
-	l.orders, l.asOf, l.at = next, asOf, max(at, l.at)
+	l.orders, l.asOf, l.at = next, asOf, latest
 	l.onList(slices.Clone(next), l.at)
 }
