--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -33,6 +33,7 @@
 	Owners   map[string]ed25519.PublicKey
 	Limits   Limits
 	Regions  Regions
+	Rollout  Rollout
 	Shutdown Shutdown
 	TLS      TLS
 	Log      Log
@@ -120,6 +121,14 @@
 // bytesPerMegabit is the number of bytes in 1 Mbit.
 const bytesPerMegabit = 1e6 / 8
 
+// Rollout is the section [rollout]: bounds on the requests that a new version of a service may get before it is proven.
+type Rollout struct {
+	// ExposureShare is the share, from 0 to 1, of a service's requests from the order to its deadline; 0 if services are
+	// not moved to new versions by orders. ExposureSlack is the number of requests in addition.
+	ExposureShare float64
+	ExposureSlack int
+}
+
 // Shutdown is the section [shutdown]. Grace is how long requests in flight may go on after
 // SIGTERM, less Reserve, the last part of it in which the daemon must have ended.
 type Shutdown struct{ Grace, Reserve time.Duration }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -113,6 +113,9 @@
 	if d.regions() != nil {
 		options = append(options, revision.WithRegion(d.inSameRegion))
 	}
+	if d.rollouts != nil {
+		options = append(options, revision.WithOrders(o, d.rollouts.ListRead))
+	}
 	return revision.New(o, d.members, d.mesh, o, options...)
 }
 
