choice/admission, choice/room, ingress: admission by urgency over the fleet, refusals at the ingress

Cause: what can't be answered was carried to up to seven guards before it was refused, and each guard decided alone. A call that could not finish in time by estimate was turned away, though its run then failed. Change: a guard tells with each answer, in nine bytes, the expected waits by level and the shares of newcomers it refuses (choice/room). Each ingress moves the admitted share of each level by these (choice/admission): none is admitted in a greater share than a more urgent one, a sixteenth always, all without recent word of five guards. The largest organisations are cut first. Advice when to come back is spread over the backlog, within a third of the time left. The guard refuses a request whose calls' service is too full before it runs, gives calls what time is left, counts urgent work that will arrive in its estimates, sheds what others pass by while callers still have time, and displaces what would run last. Events 4601 and 4602, refusals by level and reason in the metrics, level admitted and refusals per service in the status.

--- a/choice/fairqueue/estimate.go
+++ b/choice/fairqueue/estimate.go
@@ -1,6 +1,9 @@
 package fairqueue
 
 import (
+	"math"
+	"time"
+
 	"berylpass/attempt/id"
 	"berylpass/choice/urgency"
 )
@@ -8,33 +11,41 @@
 // protectedLeast is the number of requests of a level that more urgent ones never displace.
 const protectedLeast = 2
 
-// EstimateAhead returns an estimate of how many queued requests run before a new one of the rank.
-func (q *Queue) EstimateAhead(r urgency.Rank) float64 {
+// EstimateAhead returns an estimate of how many queued requests run before a new one of the rank with the given cost.
+func (q *Queue) EstimateAhead(r urgency.Rank, cost time.Duration) float64 {
 	l := &q.levels[r.Level]
-	own := 0
+	own, begin := 0, l.clock
 	if f, ok := l.flows[r.Owner]; ok {
-		own = len(f.items)
+		own, begin = len(f.items), max(begin, f.virtualTime)
 	}
-	sameLevel := own
+	// The new request is served after those whose virtual start lies before its own.
+	each := max(cost.Seconds(), time.Microsecond.Seconds())
+	begin += float64(own) * each
+	sameLevel := float64(own)
 	for _, f := range l.active {
 		if f.organisation != r.Owner {
-			sameLevel += min(len(f.items), own+1)
+			sameLevel += min(max(math.Floor((begin-f.virtualTime)/each)+1, 0), float64(len(f.items)))
 		}
 	}
-	total := float64(sameLevel)
+	total := sameLevel
 	for k := range q.levels {
 		if urgency.Level(k) != r.Level {
-			total += min(float64(q.levels[k].length), float64(sameLevel+1)*q.weights[k]/q.weights[r.Level])
+			total += min(float64(q.levels[k].length), (sameLevel+1)*q.weights[k]/q.weights[r.Level])
 		}
 	}
 	return total
 }
 
-// Victim returns the ID of the queued request that a new one of the rank should displace: the newest of the least
-// urgent level below its own, if that has more than protectedLeast, else the newest of the longest flow of its own
-// level. It returns false if that flow is not longer than the organisation's own would become.
-func (q *Queue) Victim(r urgency.Rank) (id.ID, bool) {
-	for k := urgency.Fourth; k > r.Level && k >= q.yielding(); k-- {
+// Victim returns the ID of the queued request that a new one of the rank with the given cost should displace. With
+// precedence, that is the request which would run last of the least urgent level below its own that has more than
+// protectedLeast, else the one of its own level, unless that would run before the new one. Without, it is the newest of
+// a less urgent level that yields, else the newest of the longest flow; Victim then returns false if that flow is not
+// longer than the organisation's own would become.
+func (q *Queue) Victim(r urgency.Rank, cost time.Duration) (id.ID, bool) {
+	if q.weights == precedence {
+		return q.lastVictim(r, cost)
+	}
+	for k := urgency.Fourth; k > r.Level && k >= urgency.Third; k-- {
 		if l := &q.levels[k]; l.length > protectedLeast {
 			return newest(l.longest()), true
 		}
@@ -45,7 +56,8 @@
 	}
 	var longest *flow
 	for k := urgency.Call; k < urgency.Count; k++ {
-		if k != r.Level && (k >= q.yielding() || r.Level >= q.yielding()) {
+		// The third level and the fourth yield to others and displace only their own requests.
+		if k != r.Level && (k >= urgency.Third || r.Level >= urgency.Third) {
 			continue
 		}
 		f := q.levels[k].longest()
@@ -59,13 +71,53 @@
 	return newest(longest), true
 }
 
-// yielding returns the most urgent level whose requests are displaced by any more urgent one. Without precedence
-// only the third and fourth are: those of the levels before displace each other by the length of their flows.
-func (q *Queue) yielding() urgency.Level {
-	if q.weights == precedence {
-		return urgency.Call
+// lastVictim is Victim with precedence.
+func (q *Queue) lastVictim(r urgency.Rank, cost time.Duration) (id.ID, bool) {
+	for k := urgency.Fourth; k > r.Level; k-- {
+		if l := &q.levels[k]; l.length > protectedLeast {
+			return newest(l.last()), true
+		}
+	}
+	l := &q.levels[r.Level]
+	own := l.clock
+	if f, ok := l.flows[r.Owner]; ok {
+		own = max(own, f.virtualTime) + float64(len(f.items))*cost.Seconds()
+	}
+	// The margin keeps requests of equal organisations from displacing each other.
+	f := l.last()
+	if f == nil || f.lastStart() <= own+cost.Seconds() {
+		return id.ID{}, false
+	}
+	return newest(f), true
+}
+
+// last returns the flow whose newest request would run last, nil if the level has no queued requests.
+func (l *levelQueue) last() *flow {
+	var last *flow
+	for _, f := range l.active {
+		if last == nil || f.lastStart() > last.lastStart() {
+			last = f
+		}
+	}
+	return last
+}
+
+// lastStart returns the virtual start of the newest request.
+func (f *flow) lastStart() float64 {
+	start := f.virtualTime
+	for _, item := range f.items[:len(f.items)-1] {
+		start += item.Cost.Seconds()
+	}
+	return start
+}
+
+// Last returns the request of a level that would run last. It returns false if the level has no queued requests.
+func (q *Queue) Last(l urgency.Level) (Item, bool) {
+	f := q.levels[l].last()
+	if f == nil {
+		return Item{}, false
 	}
-	return urgency.Third
+	return f.items[len(f.items)-1], true
 }
 
 // longest returns the flow with the most queued requests, the first in order if there are several; nil if the
--- a/choice/fairqueue/fairqueue.go
+++ b/choice/fairqueue/fairqueue.go
@@ -9,7 +9,7 @@
 // requests are served in order of arrival.
 //
 // A request that can still be answered within its target goes before those of its level that can't, but for one in
-// lateTurn. Among calls, those of more urgent requests go first.
+// LateTurn. Among calls, those of more urgent requests go first.
 //
 // # Usage
 //
@@ -41,9 +41,9 @@
 const (
 	// maxIdleFlows is the number of flows without queued requests that a level may keep.
 	maxIdleFlows = 64
-	// lateTurn is the number of requests of a level of which one is taken in order of the flows, although others
+	// LateTurn is the number of requests of a level of which one is taken in order of the flows, although others
 	// can still be answered within their target.
-	lateTurn = 4
+	LateTurn = 4
 )
 
 // Item is a queued request.
@@ -61,8 +61,8 @@
 	Cost time.Duration
 }
 
-// inTime reports whether the request can be answered within its target if it starts at the time now.
-func (i Item) inTime(now time.Time) bool {
+// InTime reports whether the request can be answered within its target if it starts at the time now.
+func (i Item) InTime(now time.Time) bool {
 	return i.Target.IsZero() || !now.Add(i.Cost).After(i.Target)
 }
 
@@ -85,7 +85,7 @@
 	// Both are in seconds.
 	virtualTime, clock float64
 	length             int
-	// turn counts the requests taken, for lateTurn.
+	// turn counts the requests taken, for LateTurn.
 	turn int
 }
 
@@ -146,6 +146,15 @@
 // Queued returns the number of queued requests of a level.
 func (q *Queue) Queued(l urgency.Level) int { return q.levels[l].length }
 
+// Items returns the queued requests of a level, flow by flow.
+func (q *Queue) Items(l urgency.Level) []Item {
+	var all []Item
+	for _, f := range q.levels[l].active {
+		all = append(all, f.items...)
+	}
+	return all
+}
+
 // Pop removes and returns the next request to run at the time now and charges its cost. It takes none that is less
 // urgent than the level least, and returns false if there is no other.
 func (q *Queue) Pop(now time.Time, least urgency.Level) (Item, bool) {
@@ -163,8 +172,8 @@
 // next returns the flow and the index of the request that is served next. There must be one.
 func (l *levelQueue) next(now time.Time) (*flow, int) {
 	l.turn++
-	if l.turn%lateTurn != 0 {
-		if f, i := l.first(func(item Item) bool { return item.inTime(now) }); f != nil {
+	if l.turn%LateTurn != 0 {
+		if f, i := l.first(func(item Item) bool { return item.InTime(now) }); f != nil {
 			return f, i
 		}
 	}
--- a/choice/fairqueue/fairqueue_test.go
+++ b/choice/fairqueue/fairqueue_test.go
@@ -91,19 +91,19 @@
 	for i := range uint64(6) {
 		q.Push(fairqueue.Item{ID: id.New("vm", 1, i), Rank: rank(urgency.Second, "large")})
 	}
-	if got, ok := q.Victim(rank(urgency.Second, "small")); !ok || got.Request != 5 {
+	if got, ok := q.Victim(rank(urgency.Second, "small"), time.Second); !ok || got.Request != 5 {
 		t.Errorf("victim for the small organisation = %v, %v; want the newest request of the large one", got, ok)
 	}
-	if got, ok := q.Victim(rank(urgency.Second, "large")); ok {
+	if got, ok := q.Victim(rank(urgency.Second, "large"), time.Second); ok {
 		t.Errorf("victim for the large organisation = %v, want none", got)
 	}
-	if got, ok := q.Victim(rank(urgency.Third, "small")); ok {
+	if got, ok := q.Victim(rank(urgency.Third, "small"), time.Second); ok {
 		t.Errorf("victim for background work = %v, want none", got)
 	}
 	for i := range uint64(3) {
 		q.Push(fairqueue.Item{ID: id.New("vm", 2, i), Rank: rank(urgency.Third, "small")})
 	}
-	if got, ok := q.Victim(rank(urgency.First, "large")); !ok || got.Incarnation != 2 || got.Request != 2 {
+	if got, ok := q.Victim(rank(urgency.First, "large"), time.Second); !ok || got.Incarnation != 2 || got.Request != 2 {
 		t.Errorf("victim for a reservation = %v, %v; want the newest background request", got, ok)
 	}
 }
--- a/choice/fairqueue/precedence_test.go
+++ b/choice/fairqueue/precedence_test.go
@@ -87,13 +87,13 @@
 		q.Push(fairqueue.Item{ID: id.New("third", 1, n), Rank: rank(urgency.Third, fmt.Sprint(n))})
 	}
 	for _, want := range []string{"third", "second", ""} {
-		got, ok := q.Victim(rank(urgency.First, "9"))
+		got, ok := q.Victim(rank(urgency.First, "9"), time.Second)
 		if string(got.Ingress) != want || ok != (want != "") {
 			t.Errorf("displaced for an urgent request: %v, want one of level %q", got, want)
 		}
 		q.Remove(got)
 	}
-	if got, ok := q.Victim(rank(urgency.Third, "9")); ok {
+	if got, ok := q.Victim(rank(urgency.Third, "9"), time.Second); ok {
 		t.Errorf("displaced for a request of the third level: %v, want none", got)
 	}
 }
--- a/choice/gate/backend.go
+++ b/choice/gate/backend.go
@@ -50,9 +50,11 @@
 	// precedence is that of the gate; used is the use of slots by level.
 	precedence bool
 	used       [urgency.Count]usage
-	limiter    *limiter.Limiter
-	queue      *fairqueue.Queue
-	evidence   *evidence.Evidence
+	// refusals are those for a lack of room by level.
+	refusals [urgency.Count]refusals
+	limiter  *limiter.Limiter
+	queue    *fairqueue.Queue
+	evidence *evidence.Evidence
 	// mean holds the service times in seconds, by class.
 	mean [class.Count]window.Window
 	// running is ordered by start time.
@@ -165,11 +167,13 @@
 			return []decision.Action{b.shed(now, item, Late)}
 		}
 		b.queue.Charge(item.Rank, item.Cost)
+		b.refusals[item.Rank.Level].add(now, 1, 0)
 		return []decision.Action{b.start(now, item)}
 	}
 	if e.Prompt {
 		return []decision.Action{b.shed(now, item, Busy)}
 	}
+	b.refusals[item.Rank.Level].add(now, 1, 0)
 	return b.enqueue(now, item)
 }
 
@@ -187,13 +191,13 @@
 	if b.queue.Len() == 0 {
 		b.queuedSince = now
 	}
-	wait := b.estimatedWait(now, b.queue.EstimateAhead(item.Rank))
-	if now.Add(wait + item.Cost).After(item.Expires) {
+	wait := b.expectedWait(now, item.Rank.Level, b.queue.EstimateAhead(item.Rank, item.Cost))
+	if item.Rank.Level != urgency.Call && now.Add(wait+item.Cost).After(item.Expires) {
 		return []decision.Action{b.shed(now, item, Late)}
 	}
 	var actions []decision.Action
 	if b.queue.Len() >= b.queueLimit(now) {
-		victim, ok := b.queue.Victim(item.Rank)
+		victim, ok := b.queue.Victim(item.Rank, item.Cost)
 		if !ok {
 			return []decision.Action{b.shed(now, item, QueueFull)}
 		}
@@ -235,7 +239,7 @@
 		return b.shedAll(now, Stalled)
 	}
 	late := b.queue.Filter(func(item fairqueue.Item) bool { return tooLate(now, item) })
-	return b.shedItems(now, late, Late)
+	return append(b.shedItems(now, late, Late), b.shedDoomed(now)...)
 }
 
 // shedAll sheds all queued requests.
@@ -254,6 +258,9 @@
 
 // shed returns the action that refuses a request.
 func (b *limitedBackend) shed(now time.Time, item fairqueue.Item, reason Reason) Shed {
+	if reason == Late || reason == QueueFull || reason == Displaced {
+		b.refusals[item.Rank.Level].add(now, 0, 1)
+	}
 	return Shed{ID: item.ID, Reason: reason, RetryAfter: b.estimatedWait(now, float64(b.queue.Len()))}
 }
 
@@ -301,7 +308,11 @@
 	}
 }
 
-// tooLate reports whether a request can no longer finish before it expires.
+// tooLate reports whether a request can no longer finish before it expires. A call gets what time is left: the run that
+// waits for it holds a slot, and would fail without its answer.
 func tooLate(now time.Time, item fairqueue.Item) bool {
+	if item.Rank.Level == urgency.Call {
+		return now.After(item.Expires)
+	}
 	return now.Add(item.Cost).After(item.Expires)
 }
--- a/choice/gate/callroom.go
+++ b/choice/gate/callroom.go
@@ -7,9 +7,9 @@
 	"berylpass/choice/urgency"
 )
 
-// usageSpan is the time constant with which the use of slots by level is averaged: several calls per slot, but less
-// than the bursts of load last.
-const usageSpan = 2 * time.Second
+// usageSpan is the time constant with which the use of slots by level is averaged: several requests per slot, and about
+// as long as a short burst of load.
+const usageSpan = 5 * time.Second
 
 // usage is the mean number of slots that the requests of one level use.
 type usage struct {
--- a/choice/gate/measure.go
+++ b/choice/gate/measure.go
@@ -74,15 +74,20 @@
 
 // queueLimit returns how many requests may be queued: as many as the slots serve in burstQueueTime, or in
 // standingQueueTime if the queue does not become empty (B. Maurer, Fail at Scale, 2015), but at least two per
-// slot and at most maxQueued.
+// slot and at most maxQueued. With precedence one per slot is enough: what is queued there may be passed by more
+// urgent requests, and would be refused late.
 func (b *limitedBackend) queueLimit(now time.Time) int {
 	span := burstQueueTime
 	if now.Sub(b.queuedSince) >= standingQueueAfter {
 		span = standingQueueTime
 	}
 	served := float64(span) / float64(max(b.meanServiceTime(now), time.Microsecond))
+	least := 2 * b.limiter.Slots()
+	if b.precedence {
+		least = b.limiter.Slots()
+	}
 	n := served * float64(b.limiter.Allowed(now))
-	return int(min(max(n, float64(2*b.limiter.Slots())), float64(b.maxQueued)))
+	return int(min(max(n, float64(least)), float64(b.maxQueued)))
 }
 
 // stalled returns how long the backend server has completed nothing while requests were overdue or abandoned;
--- a/choice/scenario/model_test.go
+++ b/choice/scenario/model_test.go
@@ -45,14 +45,18 @@
 	completed  int
 	// arrivals counts the requests sent to it.
 	arrivals int
+	urgentModel
 }
 
 func newModel(w *world, b backend.Backend) *model {
-	return &model{w: w, backend: b, gate: gate.New(), running: make(map[id.ID]*call), warmSince: w.now}
+	return &model{w: w, backend: b, gate: gate.New(w.gateOptions()...), running: make(map[id.ID]*call), warmSince: w.now}
 }
 
 // arrive handles a request that arrives at the guard.
 func (m *model) arrive(r *call) {
+	if m.frozen(func() { m.arrive(r) }) || m.lost(r) {
+		return
+	}
 	m.arrivals++
 	if m.w.fifo {
 		m.fifoQueue = append(m.fifoQueue, r)
@@ -60,7 +64,7 @@
 		return
 	}
 	m.handle(m.gate.Update(m.w.now, gate.Arrive{ID: r.id, Backend: m.backend.ID,
-		Organisation: r.organisation, Class: r.class, Expires: r.expires, Prompt: len(r.tried) <= m.w.promptAttempts}))
+		Organisation: r.organisation, Class: r.class, Rank: r.rank, Target: r.target, Expires: r.expires, Prompt: len(r.tried) <= m.w.promptAttempts}))
 }
 
 // runQueued runs requests of the FIFO queue while slots are free.
@@ -122,7 +126,7 @@
 	m.running[attempt] = r
 	r.began, r.remote = m.w.now, m.w.datacentres > 1 && m.number%m.w.datacentres != r.ingress%m.w.datacentres
 	m.maxRunning = max(m.maxRunning, len(m.running))
-	took := m.w.serviceTime()
+	took := r.work(m.w.serviceTime())
 	if m.fault.slowFactor > 0 {
 		took = time.Duration(float64(took) * m.fault.slowFactor)
 	}
@@ -146,7 +150,7 @@
 			m.stuckAttempts = append(m.stuckAttempts, attempt)
 			return
 		}
-		m.finish(attempt, v)
+		m.callThenFinish(r, attempt, v)
 	})
 }
 
@@ -167,7 +171,7 @@
 // finish ends a running attempt with a verdict. It does nothing if the attempt does not run.
 func (m *model) finish(attempt id.ID, v verdict.Verdict) {
 	r := m.running[attempt]
-	if r == nil {
+	if r == nil || v != verdict.Cancelled && m.frozen(func() { m.finish(attempt, v) }) {
 		return
 	}
 	delete(m.running, attempt)
--- a/choice/scenario/world_test.go
+++ b/choice/scenario/world_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"berylpass/attempt/id"
+	"berylpass/choice/admission"
 	"berylpass/choice/gate"
 	"berylpass/choice/picker"
 	"berylpass/choice/verdict"
@@ -77,6 +78,7 @@
 	// promptAttempts is the number of first attempts of a request that are refused instead of queued
 	// if no slot is free.
 	promptAttempts int
+	urgencySettings
 }
 
 // world simulates ingresses with their pickers, and backend servers with their gates.
@@ -96,6 +98,12 @@
 	cutPaths map[int]backend.ID
 	// actions is called for each action of an ingress's picker.
 	actions func(ingress int, a decision.Action)
+	// doors are the admission of each ingress; empty if settings.door is not set.
+	doors []*admission.Admission
+	// arrived is called when a ranked request is sent or comes back.
+	arrived func(c *call)
+	// madeCalls and failedCalls count the calls of runs.
+	madeCalls, failedCalls int
 	// answered is called when a call ends for its caller.
 	answered func(c *call, v verdict.Verdict)
 }
@@ -115,6 +123,7 @@
 	// began is when its latest run began, and remote whether that was in another data centre than its ingress.
 	began  time.Time
 	remote bool
+	urgentCall
 }
 
 // hopDelay is the one-way delay between an ingress and a guard.
@@ -131,12 +140,16 @@
 	}
 	w.actions = func(int, decision.Action) {}
 	w.answered = func(*call, verdict.Verdict) {}
+	w.arrived = func(*call) {}
 	for i := range s.ingresses {
 		var options []picker.Option
 		if s.remoteServers > 0 || s.datacentres > 1 {
 			options = append(options, picker.WithLocalFirst())
 		}
 		w.pickers = append(w.pickers, picker.New(s.seed+uint64(i), options...))
+		if s.door {
+			w.doors = append(w.doors, admission.New())
+		}
 	}
 	for _, name := range sortedKeys(s.services) {
 		for n := range s.services[name] {
@@ -174,7 +187,11 @@
 		}
 		p.Update(w.now, picker.BackendUpdated{Backend: b, Datacentre: "dc", SameDatacentre: same, InService: true})
 	}
-	w.every(50*time.Millisecond, w.jitter(50*time.Millisecond), func() { m.handle(m.gate.Update(w.now, gate.Tick{})) })
+	w.every(50*time.Millisecond, w.jitter(50*time.Millisecond), func() {
+		if !w.now.Before(m.frozenUntil) {
+			m.handle(m.gate.Update(w.now, gate.Tick{}))
+		}
+	})
 }
 
 // after schedules run after a delay.
@@ -247,10 +264,14 @@
 
 // attempt sends a call to the backend server that its ingress picks.
 func (w *world) attempt(r *call) {
+	if len(r.tried) == 0 && !w.admitted(r) {
+		w.end(r, verdict.Shed)
+		return
+	}
 	p := w.pickers[r.ingress]
 	chosen, err := p.PickFor(w.now, picker.Request{Service: r.service, Exclude: r.tried, MayBeTrial: !r.runOnce, RunOnce: r.runOnce})
 	if err != nil {
-		w.answered(r, verdict.Shed)
+		w.end(r, verdict.Shed)
 		return
 	}
 	w.attempts++
@@ -272,7 +293,7 @@
 	delete(w.calls, attempt)
 	w.observe(r, attempt, chosen, verdict.Timeout, false)
 	w.servers[chosen].cancel(attempt)
-	w.answered(r, verdict.Timeout)
+	w.end(r, verdict.Timeout)
 }
 
 // answer sends a backend server's answer to the ingress, which retries a shed call up to twice.
@@ -287,11 +308,11 @@
 		}
 		delete(w.calls, attempt)
 		w.observe(r, attempt, from, v, true)
-		if v == verdict.Shed && len(r.tried) < max(3, w.promptAttempts+1) {
+		if v == verdict.Shed && len(r.tried) < max(3, w.promptAttempts+1, w.maxAttempts) {
 			w.attempt(r)
 			return
 		}
-		w.answered(r, v)
+		w.end(r, v)
 	})
 }
 
@@ -299,7 +320,8 @@
 // set.
 func (w *world) observe(r *call, attempt id.ID, from backend.ID, v verdict.Verdict, reported bool) {
 	o := picker.AttemptEnded{Attempt: attempt, Backend: from, Class: r.class, Took: w.now.Sub(r.sent), Verdict: v}
-	if reported && !w.fifo {
+	if reported && !w.fifo && !w.servers[from].dead && (w.lostReports == 0 || w.random.Float64() >= w.lostReports) {
+		w.hearRoom(r, from)
 		rep, _ := w.servers[from].gate.Report(w.now, from)
 		encoded, _ := rep.MarshalBinary()
 		_ = rep.UnmarshalBinary(encoded)
@@ -315,7 +337,7 @@
 	w.reportsFetched++
 	o := picker.AttemptEnded{Backend: of, Verdict: verdict.PathFailure}
 	delay := picker.ReportTimeout
-	if at, ok := w.cutPaths[ingress]; !ok || at != of {
+	if at, ok := w.cutPaths[ingress]; (!ok || at != of) && !w.servers[of].silent() {
 		r, _ := w.servers[of].gate.Report(w.now, of)
 		o.Verdict, o.Report, delay = verdict.Shed, &r, 2*hopDelay
 	}
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -160,6 +160,7 @@
 // Ended implements ingress.Observer.
 func (o *observer) Ended(now time.Time, r ingress.RequestRecord) {
 	o.count(`requests{outcome="` + string(r.Outcome) + `"}`)
+	o.countRefusal(r)
 	metrics.GetOrRegisterTimer("request-time", o.metrics).Update(r.Took)
 	if r.Outcome == ingress.Unknown {
 		event.UnknownOutcome.Log(&o.logger).Str("route", r.Route).Str("reason", r.Reason).Send()
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -55,6 +55,7 @@
 		InFlight:    d.ingress.InFlight() + d.guard.InFlight(),
 		Shares:      d.limits.SharesHeld(),
 		Backends:    d.chooser.Status(),
+		Admission:   d.ingress.Admission(),
 	}
 	if ready != nil {
 		out.Ready = ready.Error()
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -110,6 +110,7 @@
 		Precedence:     d.onPlatform(),
 		SilenceLimit:   d.silenceLimit(),
 		MayRepeatCall:  d.mayRepeatCall,
+		CallWait:       d.callWait,
 		LastFailedCall: d.lastFailedCall,
 	})
 	d.onClose(d.guard.Close)
--- a/guard/attempt.go
+++ b/guard/attempt.go
@@ -51,6 +51,9 @@
 	if reason == reasonNone && e.Repeated && !g.mayRepeat(e.Route) {
 		reason = ReasonRetryBudget
 	}
+	if reason == reasonNone && !g.hasRoomForCalls(now, e) {
+		reason = ReasonNoRoomForCalls
+	}
 	if reason != reasonNone {
 		g.ledger.Update(now, ledger.Discard{ID: e.Attempt})
 		return nil, reason, hop.NotRun
--- a/guard/check.go
+++ b/guard/check.go
@@ -40,7 +40,9 @@
 	// call again is used up.
 	ReasonRetryBudget = "retry-budget-empty"
 	ReasonNotSent     = "backend-unreachable"
-	reasonNone        = ""
+	// ReasonNoRoomForCalls means that a service that the request's run would call can't answer in time.
+	ReasonNoRoomForCalls = "no-room-for-calls"
+	reasonNone           = ""
 )
 
 // The reasons for which a guard can't tell whether a request ran to completion.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -121,6 +121,9 @@
 	// MayRepeatCall reports whether the retry budget of a service allows a call that counts as
 	// repeated. If nil, all services allow it.
 	MayRepeatCall func(service string) bool
+	// CallWait returns the expected wait of a call to a service, as the ingress on this VM has heard; zero if that
+	// is not known. A nil CallWait counts as zero.
+	CallWait func(service string) time.Duration
 	// LastFailedCall returns when a call of a backend server on this VM last failed; nil if
 	// that is not known.
 	LastFailedCall func() time.Time
--- a/guard/rank.go
+++ b/guard/rank.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"berylpass/choice/urgency"
+	"berylpass/hop"
 )
 
 // RankOfCall returns the rank of a request that came without a key to the daemon on this VM, if the backend server on
@@ -41,3 +42,18 @@
 	}
 	return a.envelope.Rank.Inherited < b.envelope.Rank.Inherited
 }
+
+// hasRoomForCalls reports whether the services that attempts of the route call can answer before the attempt expires. A
+// request that would run only to fail for want of a call is refused instead, before it runs. The caller holds g.mu.
+func (g *Guard) hasRoomForCalls(now time.Time, e hop.Envelope) bool {
+	if g.CallWait == nil {
+		return true
+	}
+	left := g.started.Add(milliseconds(e.Expires)).Sub(now)
+	for _, service := range g.calls.Services(e.Route) {
+		if g.CallWait(service) > left {
+			return false
+		}
+	}
+	return true
+}
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -198,5 +198,8 @@
 	if load, ok := g.gate.Report(now, e.Backend); ok {
 		out.Load = &load
 	}
+	if room, ok := g.gate.Room(now, e.Backend); ok {
+		out.Room = &room
+	}
 	return out
 }
--- a/hop/report.go
+++ b/hop/report.go
@@ -7,6 +7,7 @@
 
 	"berylpass/attempt/id"
 	"berylpass/choice/report"
+	"berylpass/choice/room"
 )
 
 // Ending is how an attempt ended at the guard.
@@ -39,6 +40,8 @@
 	ServiceTime time.Duration
 	// Load is the guard's measurements of the backend server; nil if there are none.
 	Load *report.Report
+	// Room is the room at the backend server by level of urgency; nil if the guard tells none.
+	Room *room.Room
 }
 
 // Write sets the report's headers in h.
@@ -51,11 +54,15 @@
 	h.Set(Prefix+"Clock", strconv.FormatInt(p.Clock, 10))
 	h.Set(Prefix+"Revision", strconv.FormatUint(p.Revision, 10))
 	h.Set(Prefix+"Service-Us", strconv.FormatInt(p.ServiceTime.Microseconds(), 10))
-	if p.Load == nil {
-		return
+	if p.Load != nil {
+		if text, err := p.Load.MarshalText(); err == nil {
+			h.Set(Prefix+"Load", string(text))
+		}
 	}
-	if text, err := p.Load.MarshalText(); err == nil {
-		h.Set(Prefix+"Load", string(text))
+	if p.Room != nil {
+		if text, err := p.Room.MarshalText(); err == nil {
+			h.Set(Prefix+"Room", string(text))
+		}
 	}
 }
 
@@ -78,6 +85,10 @@
 		p.Load = &report.Report{}
 		r.setError("Load", p.Load.UnmarshalText([]byte(text)))
 	}
+	if text := h.Get(Prefix + "Room"); text != "" {
+		p.Room = &room.Room{}
+		r.setError("Room", p.Room.UnmarshalText([]byte(text)))
+	}
 	if p.Ending != Ran && p.Ending != NotRun && p.Ending != Unknown {
 		r.setError("Ending", ErrMalformed)
 	}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -98,6 +98,9 @@
 	if err == nil {
 		i.Guards.RecordClock(s.target.Guard.ID, s.answer.Report.Incarnation, s.answer.Report.Clock)
 		i.Observer.HeardRevision(s.answer.Report.Revision, s.target.Guard.ID)
+		if r := s.answer.Report.Room; r != nil {
+			i.door.hear(i.Clock(), s.exchange.service, s.target.Backend.ID, *r)
+		}
 		i.withdrawals.record(s.exchange.caller, s.envelope.Revision, s.answer.Report)
 	}
 	if errors.Is(err, forwarder.ErrMismatch) {
@@ -224,7 +227,8 @@
 // whose configuration is below the revision that this ingress used doesn't decide for others.
 func refusedEverywhere(r hop.Report, revision uint64) bool {
 	switch r.Reason {
-	case guard.ReasonKeyWithdrawn, guard.ReasonNoRoute, guard.ReasonUnproven, guard.ReasonOverLimit, guard.ReasonNoHolder:
+	case guard.ReasonKeyWithdrawn, guard.ReasonNoRoute, guard.ReasonUnproven, guard.ReasonOverLimit, guard.ReasonNoHolder,
+		guard.ReasonNoRoomForCalls:
 		return r.Revision >= revision
 	case guard.ReasonExpired:
 		return true
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"berylpass/attempt/clock"
 	"berylpass/attempt/id"
 	"berylpass/attempt/lifecycle"
+	"berylpass/choice/admission"
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
 	"berylpass/choice/urgency"
@@ -94,6 +95,8 @@
 	// Service is the service that the request went to.
 	Service    string
 	RetryAfter time.Duration
+	// Level is the request's level of urgency.
+	Level urgency.Level
 }
 
 // AttemptRecord describes an attempt that is over.
@@ -126,6 +129,10 @@
 	// BudgetEmpty is called when an attempt is not made because the service's retry budget
 	// is empty.
 	BudgetEmpty(service string)
+	// LevelClosed and LevelOpened are called when requests of a level of urgency are refused
+	// for want of room from now on, and when they are admitted again.
+	LevelClosed(c admission.Closed)
+	LevelOpened(o admission.Opened)
 }
 
 // Guards makes control calls to guards and keeps track of their clocks. RecordClock records a
@@ -176,6 +183,7 @@
 	lastFailedCall atomic.Pointer[time.Time]
 	inFlight       atomic.Int64
 	withdrawals    *withdrawals
+	door           *door
 }
 
 // New returns an ingress of the daemon self.
@@ -195,7 +203,7 @@
 	if parts.Random == nil {
 		parts.Random = rand.Float64
 	}
-	return &Ingress{Parts: parts, self: self, retryState: newRetryState(parts.RetryBudget), withdrawals: newWithdrawals()}
+	return &Ingress{Parts: parts, self: self, retryState: newRetryState(parts.RetryBudget), withdrawals: newWithdrawals(), door: newDoor()}
 }
 
 // LastFailedCall returns when a request without a key, such as a call of the backend
@@ -232,6 +240,10 @@
 		i.Dialect.Refuse(w, f)
 		return
 	}
+	if end, refused := i.refuse(x); refused {
+		i.finish(w, x, end)
+		return
+	}
 	i.finish(w, x, x.run(r.Context()))
 }
 
@@ -325,6 +337,9 @@
 func (i *Ingress) finish(w http.ResponseWriter, x *exchange, end result) {
 	i.Observer.Ended(i.Clock(), x.record(end))
 	i.recordFailedCall(x, end.status)
+	if end.outcome == NotRun {
+		i.door.count(x.service, end.reason)
+	}
 	if end.outcome == Answered {
 		i.Dialect.WriteAnswer(w, end.answer, end.attempt.String())
 		return
@@ -349,6 +364,7 @@
 		Attempts:     end.attempts,
 		Service:      x.service,
 		RetryAfter:   end.retryAfter,
+		Level:        x.rank.Level,
 	}
 }
 
--- a/ingress/reply.go
+++ b/ingress/reply.go
@@ -72,6 +72,9 @@
 	if r.Outcome == lifecycle.NotRunOutcome && end.status == http.StatusServiceUnavailable && end.retryAfter == 0 {
 		end.retryAfter = unservedRetryAfter
 	}
+	if r.Outcome == lifecycle.NotRunOutcome && end.status == http.StatusServiceUnavailable {
+		end.retryAfter = x.spread(end.reason, end.retryAfter)
+	}
 	if r.Outcome == lifecycle.AnsweredOutcome {
 		s := x.attempts[r.Attempt.Attempt]
 		end.answer, end.attempt, end.status = s.answer, r.Attempt, s.answer.Status
--- a/ingress/trial_test.go
+++ b/ingress/trial_test.go
@@ -10,6 +10,7 @@
 	"berylpass/attempt/clock"
 	"berylpass/attempt/id"
 	"berylpass/attempt/lifecycle"
+	"berylpass/choice/admission"
 	"berylpass/choice/chooser"
 	"berylpass/choice/picker"
 	"berylpass/config/class"
@@ -95,6 +96,8 @@
 func (noObserver) LimitRefused(string, *enforcer.Refusal) {}
 func (noObserver) AnswerDropped(id.ID)                    {}
 func (noObserver) BudgetEmpty(string)                     {}
+func (noObserver) LevelClosed(admission.Closed)           {}
+func (noObserver) LevelOpened(admission.Opened)           {}
 
 // TestTrialRequestsReserveARetry checks that a request only serves as a trial if a retry is
 // reserved for it. With a retry budget of one attempt, nine requests run while another one
--- a/monitor/event/catalogue.go
+++ b/monitor/event/catalogue.go
@@ -78,6 +78,12 @@
 	Rejoined            = info(5202, "rejoined", "This daemon is no longer isolated.")
 )
 
+// Admission by urgency.
+var (
+	LevelClosed = warn(4601, "level-closed", "A service has too little room: over half of the requests of this level of urgency, and of less urgent ones, are refused at once.")
+	LevelOpened = info(4602, "level-opened", "Nearly all requests of this level of urgency are admitted to the service again.")
+)
+
 // Configuration and the platform's store.
 var (
 	RevisionApplied  = info(6001, "revision-applied", "A configuration revision is in force on this daemon.")
--- a/monitor/status/status.go
+++ b/monitor/status/status.go
@@ -15,10 +15,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 
+	"berylpass/choice/admission"
 	"berylpass/choice/picker"
 )
 
@@ -64,6 +68,8 @@
 	Members     []Member               `json:"members"`
 	Datacentres []Datacentre           `json:"datacentres"`
 	Backends    []picker.BackendStatus `json:"backends"`
+	// Admission is, for each service, the least urgent level that the daemon admits and what it has refused.
+	Admission []admission.Status `json:"admission"`
 }
 
 // Fetch reads the status of the daemon whose operators' port is at baseURL. Its error wraps ErrUnreadable.
@@ -104,6 +110,11 @@
 		writeRow(t, d.Name, d.Region, inOrOut(d.InService), strconv.Itoa(d.Members), strconv.Itoa(d.Backends))
 	}
 	writeRow(t)
+	writeRow(t, "SERVICE", "ADMITTED", "REFUSED")
+	for _, a := range s.Admission {
+		writeRow(t, a.Service, a.Admitted, refusals(a.Refused))
+	}
+	writeRow(t)
 	writeRow(t, "BACKEND", "SERVICE", "DATA CENTRE", "STATE", "REASON", "IN USE", "QUEUED", "LIMIT")
 	for _, b := range s.Backends {
 		writeRow(t, string(b.Backend), b.Service, b.Datacentre, b.State, b.Reason,
@@ -112,6 +123,18 @@
 	return t.Flush()
 }
 
+// refusals returns the numbers of refusals by reason as text, "none" if there are none.
+func refusals(byReason map[string]uint64) string {
+	var all []string
+	for _, reason := range slices.Sorted(maps.Keys(byReason)) {
+		all = append(all, fmt.Sprintf("%s %d", reason, byReason[reason]))
+	}
+	if len(all) == 0 {
+		return "none"
+	}
+	return strings.Join(all, ", ")
+}
+
 func inOrOut(in bool) string {
 	if in {
 		return "in"
