--- a/choice/scenario/hedging_test.go
+++ b/choice/scenario/hedging_test.go
@@ -88,7 +88,7 @@
 func (w *world) conclude(r *call, v verdict.Verdict) {
 	t := r.twin
 	if t == nil {
-		w.answered(r, v)
+		w.end(r, v)
 		return
 	}
 	r.twin, t.twin = nil, nil
@@ -107,7 +107,7 @@
 		}
 		w.servers[on].cancel(t.id)
 	}
-	w.answered(r, v)
+	w.end(r, v)
 }
 
 // hedgeOutcome is what callers saw, and what the hedges cost.
--- a/choice/scenario/world_test.go
+++ b/choice/scenario/world_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"berylpass/attempt/id"
+	"berylpass/choice/admission"
 	"berylpass/choice/gate"
 	"berylpass/choice/picker"
 	"berylpass/choice/spill"
@@ -98,6 +99,7 @@
 	promptAttempts int
 	// hedgeShare is the limit of the extra work of hedges, as a share of the work; 0 for no hedges.
 	hedgeShare float64
+	urgencySettings
 }
 
 // world simulates ingresses with their pickers, and backend servers with their gates.
@@ -125,6 +127,12 @@
 	needless int
 	// actions is called for each action of an ingress's picker.
 	actions func(ingress int, a decision.Action)
+	// doors are the admission of each ingress; empty if settings.door is not set.
+	doors []*admission.Admission
+	// arrived is called when a ranked request is sent or comes back.
+	arrived func(c *call)
+	// madeCalls and failedCalls count the calls of runs.
+	madeCalls, failedCalls int
 	// answered is called when a call ends for its caller.
 	answered func(c *call, v verdict.Verdict)
 }
@@ -150,6 +158,7 @@
 	// that a hedge is expected to take; zero for a call that is no hedge.
 	twin       *call
 	hedgeAfter time.Duration
+	urgentCall
 }
 
 // hopDelay is the one-way delay between an ingress and a guard.
@@ -166,6 +175,7 @@
 	}
 	w.actions = func(int, decision.Action) {}
 	w.answered = func(*call, verdict.Verdict) {}
+	w.arrived = func(*call) {}
 	for i := range s.ingresses {
 		var options []picker.Option
 		if s.remoteServers > 0 || s.datacentres > 1 {
@@ -179,6 +189,9 @@
 		}
 		w.pickers = append(w.pickers, picker.New(s.seed+uint64(i), options...))
 		w.pickers[i].SetSpillRate(w.now, s.spillRate*float64(s.regions)/float64(s.ingresses))
+		if s.door {
+			w.doors = append(w.doors, admission.New())
+		}
 	}
 	for _, name := range sortedKeys(s.services) {
 		for n := range s.services[name] {
@@ -217,7 +230,11 @@
 		p.Update(w.now, picker.BackendUpdated{Backend: b, Datacentre: "dc", SameDatacentre: same, InService: true,
 			Region: fmt.Sprint(w.region(n)), SameRegion: w.region(n) == w.region(i)})
 	}
-	w.every(50*time.Millisecond, w.jitter(50*time.Millisecond), func() { m.handle(m.gate.Update(w.now, gate.Tick{})) })
+	w.every(50*time.Millisecond, w.jitter(50*time.Millisecond), func() {
+		if !w.now.Before(m.frozenUntil) {
+			m.handle(m.gate.Update(w.now, gate.Tick{}))
+		}
+	})
 }
 
 // region returns the region of the ingress or the backend server with a number.
@@ -332,11 +349,15 @@
 
 // attempt sends a call to the backend server that its ingress picks.
 func (w *world) attempt(r *call) {
+	if len(r.tried) == 0 && !w.admitted(r) {
+		w.end(r, verdict.Shed)
+		return
+	}
 	p := w.pickers[r.ingress]
 	chosen, err := p.PickFor(w.now, picker.Request{Service: r.service, Exclude: r.tried, MayBeTrial: !r.runOnce, RunOnce: r.runOnce,
 		BodyBytes: r.body, Class: r.class})
 	if err != nil {
-		w.answered(r, verdict.Shed)
+		w.end(r, verdict.Shed)
 		return
 	}
 	w.attempts++
@@ -386,7 +407,7 @@
 		}
 		delete(w.calls, attempt)
 		w.observe(r, attempt, from, v, true)
-		if v == verdict.Shed && r.twin == nil && len(r.tried) < max(3, w.promptAttempts+1) {
+		if v == verdict.Shed && r.twin == nil && len(r.tried) < max(3, w.promptAttempts+1, w.maxAttempts) {
 			w.attempt(r)
 			return
 		}
@@ -398,7 +419,9 @@
 // set.
 func (w *world) observe(r *call, attempt id.ID, from backend.ID, v verdict.Verdict, reported bool) {
 	o := picker.AttemptEnded{Attempt: attempt, Backend: from, Class: r.class, Took: w.now.Sub(r.sent), Verdict: v}
-	if reported && !w.fifo && (w.reportLoss == 0 || w.random.Float64() >= w.reportLoss) {
+	lost := w.reportLoss > 0 && w.random.Float64() < w.reportLoss || w.lostReports > 0 && w.random.Float64() < w.lostReports
+	if reported && !w.fifo && !w.servers[from].dead && !lost {
+		w.hearRoom(r, from)
 		rep, _ := w.servers[from].gate.Report(w.now, from)
 		encoded, _ := rep.MarshalBinary()
 		_ = rep.UnmarshalBinary(encoded)
@@ -416,7 +439,7 @@
 	o := picker.AttemptEnded{Backend: of, Verdict: verdict.PathFailure}
 	delay := picker.ReportTimeout
 	lost := w.linkCut && w.region(ingress) != w.region(w.servers[of].number)
-	if at, ok := w.cutPaths[ingress]; (!ok || at != of) && !lost {
+	if at, ok := w.cutPaths[ingress]; (!ok || at != of) && !lost && !w.servers[of].silent() {
 		r, _ := w.servers[of].gate.Report(w.now, of)
 		o.Verdict, o.Report, delay = verdict.Shed, &r, 2*hopDelay
 	}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -56,6 +56,7 @@
 		Shares:      d.limits.SharesHeld(),
 		Backends:    d.chooser.Status(),
 		Rollouts:    d.rolloutStatus(),
+		Admission:   d.ingress.Admission(),
 	}
 	if ready != nil {
 		out.Ready = ready.Error()
--- a/guard/check.go
+++ b/guard/check.go
@@ -45,7 +45,9 @@
 	// ReasonMakesCalls means that a hedged request would make calls to other services.
 	ReasonMakesCalls = "makes-calls"
 	ReasonNotSent    = "backend-unreachable"
-	reasonNone       = ""
+	// ReasonNoRoomForCalls means that a service that the request's run would call can't answer in time.
+	ReasonNoRoomForCalls = "no-room-for-calls"
+	reasonNone           = ""
 )
 
 // The reasons for which a guard can't tell whether a request ran to completion.
--- a/guard/rank_test.go
+++ b/guard/rank_test.go
@@ -66,7 +66,7 @@
 	for n := range uint64(20) {
 		q.Push(fairqueue.Item{ID: id.New("vm-3", 1, n), Rank: rankOf(3), Cost: time.Second})
 	}
-	if _, ok := q.Victim(rankOf(0)); !ok {
+	if _, ok := q.Victim(rankOf(0), time.Second); !ok {
 		t.Error("a full queue of requests of priority 3 makes no room for one of priority 0")
 	}
 }
--- a/monitor/status/status.go
+++ b/monitor/status/status.go
@@ -15,10 +15,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 
+	"berylpass/choice/admission"
 	"berylpass/choice/picker"
 )
 
@@ -77,6 +81,8 @@
 	Datacentres []Datacentre           `json:"datacentres"`
 	Backends    []picker.BackendStatus `json:"backends"`
 	Rollouts    []Rollout              `json:"rollouts,omitempty"`
+	// Admission is, for each service, the least urgent level that the daemon admits and what it has refused.
+	Admission []admission.Status `json:"admission"`
 	// Spill is what has left the region from this daemon; nil in a fleet with one region.
 	Spill *Spill `json:"spill,omitempty"`
 }
@@ -146,6 +152,11 @@
 		}
 		writeRow(t)
 	}
+	writeRow(t, "SERVICE", "ADMITTED", "REFUSED")
+	for _, a := range s.Admission {
+		writeRow(t, a.Service, a.Admitted, refusals(a.Refused))
+	}
+	writeRow(t)
 	writeRow(t, "BACKEND", "SERVICE", "DATA CENTRE", "STATE", "REASON", "IN USE", "QUEUED", "LIMIT")
 	for _, b := range s.Backends {
 		writeRow(t, string(b.Backend), b.Service, b.Datacentre, b.State, b.Reason,
@@ -154,6 +165,18 @@
 	return t.Flush()
 }
 
+// refusals returns the numbers of refusals by reason as text, "none" if there are none.
+func refusals(byReason map[string]uint64) string {
+	var all []string
+	for _, reason := range slices.Sorted(maps.Keys(byReason)) {
+		all = append(all, fmt.Sprintf("%s %d", reason, byReason[reason]))
+	}
+	if len(all) == 0 {
+		return "none"
+	}
+	return strings.Join(all, ", ")
+}
+
 func inOrOut(in bool) string {
 	if in {
 		return "in"
