store, config, fleet: eras of a store that goes on from an older copy

Cause: in a drill the store comes back from a copy some seconds old and gives out its revisions again. The daemons compared plain revisions: a configuration written after the drill could have a lower revision than the one in force and was never applied; an older content could count as proof of a newer one; a watch from a revision that the store had again missed what was lost; and what the store had acknowledged to daemons (member records, departures) stayed lost.

Change: versions that platform/client returns hold the store's era above its revision, so that they order by (era, revision) wherever they ride. Answers of earlier eras are void, writes on versions of earlier eras are conflicts, watches list anew. In a later era a configuration is applied only if the operators' own number isn't lower; reads count as proof 1 s after the era was learnt; data centres that the list no longer names are held out of service for 10 s (config/outage); records and departures are written again, spread over the fleet. Daemons tell each other the era, the number and the settling time. The stand-in and store/memory have eras. Without a stated era versions are the plain revisions, as before.

Ruled out: an era beside each revision in every message (the same order, many places to forget it); the operators' number alone (no meaning for members, departures and outages); no settling time (the model finds a withdrawn key in use after a cut longer than a proof lasts).

--- a/config/revision/follower.go
+++ b/config/revision/follower.go
@@ -142,6 +142,11 @@
 	caughtUp atomic.Bool
 	// proof is nil unless WithProof was given.
 	proof *proof
+	// era is the latest era of the store that is known; refusedOlder is the revision that was
+	// last refused with ErrOlder.
+	era          atomic.Uint64
+	refusedOlder atomic.Uint64
+	onEra        func(era uint64)
 
 	mu     sync.Mutex
 	closed bool
@@ -197,7 +202,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
 		verifier: verifier, fleet: fleet, caller: caller, store: store, clock: time.Now,
-		refused: func(member.ID, error) {}, onStoreAnswered: func(time.Time) {},
+		refused: func(member.ID, error) {}, onStoreAnswered: func(time.Time) {}, onEra: func(uint64) {},
 		pulled: map[uint64]*verifiedRevision{}, changed: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	for _, option := range options {
@@ -236,6 +241,9 @@
 // RecordRevision records the revision that another daemon has stated on a control call or a
 // forwarded request.
 func (f *Follower) RecordRevision(revision uint64, from member.ID) {
+	if f.proof != nil {
+		f.LearnEra(object.EraOf(revision))
+	}
 	if from == "" || f.caughtUp.Load() && revision <= f.Current().Revision {
 		return
 	}
@@ -262,7 +270,7 @@
 func (f *Follower) Behind(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.proof != nil && f.proof.claimed.revision > f.applied.Load().snapshot.Revision {
+	if f.proof != nil && (f.isSuperseded() || f.proof.claimed.revision > f.applied.Load().snapshot.Revision) {
 		return true
 	}
 	return f.spread.Behind(now)
@@ -319,7 +327,8 @@
 func (f *Follower) updateEffective() {
 	s := f.applied.Load().snapshot
 	if f.proof != nil {
-		s = s.WithOutOfService(f.proof.outages.names)
+		f.proof.outOfService = f.proof.outages.Names(f.proof.uptime())
+		s = s.WithOutOfService(f.proof.outOfService)
 	}
 	f.effective.Store(&s)
 	if f.onChange != nil {
@@ -335,9 +344,10 @@
 			ctx, cancel := context.WithTimeout(f.ctx, notifyTimeout)
 			defer cancel()
 			var reply Notice
-			err := f.caller.Call(ctx, id, noticeMethod, Notice{Revision: a.Revision, From: f.fleet.Self()}, &reply)
+			err := f.caller.Call(ctx, id, noticeMethod, f.notice(), &reply)
 			if err == nil {
-				f.RecordRevision(reply.Revision, id)
+				reply.From = id
+				f.recordNotice(reply)
 			}
 		})
 	}
@@ -398,8 +408,9 @@
 			continue
 		}
 		backoff = watchBackoff
-		// A version below after means that the store has been restored to an earlier state.
-		if len(objects) > 0 || version < after {
+		// A version below after, or of another era, means that the store has been restored to an
+		// earlier state.
+		if len(objects) > 0 || version < after || object.EraOf(version) != object.EraOf(after) {
 			f.update(spread.StoreChanged{})
 		}
 		after = version
--- a/config/revision/proof.go
+++ b/config/revision/proof.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"berylpass/config/freshness"
+	"berylpass/config/outage"
 	"berylpass/config/spread"
 	"berylpass/fleet/member"
 	"berylpass/store/object"
@@ -26,6 +27,9 @@
 	maxDenialAge = 2 * time.Second
 )
 
+// errEarlierEra reports an answer of the store from before it went on from an older copy.
+var errEarlierEra = errors.New("answer is of an earlier era of the store")
+
 // Outages returns which data centres the operators have taken out of service.
 type Outages interface {
 	// OutOfService returns the names of the data centres out of service, and the store's
@@ -76,18 +80,18 @@
 	freshness          *freshness.Freshness
 	// stored is the manifest's object in the store at the last read that was answered.
 	stored object.Object
+	// newestNumber is the highest operators' number of a configuration that another daemon has
+	// from an earlier era of the store than the one in force here.
+	newestNumber uint64
+	// firstEra is true if the era is the first that this daemon knows of. settledAt is the uptime
+	// from which a read in the era is proof.
+	firstEra  bool
+	settledAt time.Duration
 
-	outages outageList
-}
-
-// outageList is the list of the data centres out of service.
-type outageList struct {
-	names []string
-	// asOf is the store's version as of which the list holds; 0 if it is unknown. It is no
-	// revision of the configuration.
-	asOf uint64
-	// at is the uptime at the start of the read that last confirmed the list.
-	at time.Duration
+	// outages is what is known of the data centres out of service, outOfService which of them
+	// are in force.
+	outages      outage.Outages
+	outOfService []string
 }
 
 // proofAge returns the age of the proof, and whether there is one. The caller holds mu.
@@ -116,11 +120,14 @@
 func (f *Follower) checkProof() error {
 	f.mu.Lock()
 	age, known := f.proofAge()
-	known = known && f.proof.outages.asOf > 0
+	known = known && f.proof.outages.Known()
+	superseded := f.isSuperseded()
 	f.mu.Unlock()
 	switch {
 	case !known:
 		return fmt.Errorf("%w: at revision %d", ErrNoConfiguration, f.Current().Revision)
+	case superseded:
+		return fmt.Errorf("%w: another daemon has a newer configuration than revision %d", ErrIsolated, f.Current().Revision)
 	case age > f.proof.maxAge:
 		return fmt.Errorf("%w: revision %d was the newest %s ago", ErrIsolated, f.Current().Revision, age)
 	}
@@ -153,6 +160,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.putOutagesInForce()
 	view.Age, view.Known = f.proofAge()
 	read, ask := f.proof.freshness.Tick(f.proof.uptime(), view)
 	if read {
@@ -170,16 +178,23 @@
 	defer cancel()
 	start, since := f.proof.uptime(), f.clock()
 	stored, err := f.store.Get(ctx, CurrentKey)
+	if err == nil {
+		f.LearnEra(object.EraOf(stored.Version))
+		if object.EraOf(stored.Version) < f.era.Load() {
+			err = errEarlierEra
+		}
+	}
 	if err == nil {
 		f.readOutages(ctx)
 	}
 	f.mu.Lock()
 	p := f.proof
-	p.freshness.RecordRead(start, outcome(err))
+	seen := f.ifProof(observation{revision: stored.Version, at: start, known: err == nil})
+	p.freshness.RecordRead(start, outcome(err, seen.known && !f.isRefused(stored.Version)))
 	if err == nil {
 		f.onStoreAnswered(since)
 		p.stored = stored
-		p.claimed = p.claimed.later(observation{revision: stored.Version, at: start, known: true})
+		p.claimed = p.claimed.later(seen)
 	}
 	newer := err == nil && stored.Version > f.applied.Load().snapshot.Revision
 	f.mu.Unlock()
@@ -188,12 +203,13 @@
 	}
 }
 
-// outcome returns the outcome of a read for package freshness.
-func outcome(err error) freshness.Outcome {
+// outcome returns the outcome of a read for package freshness. useful is false for an answer that
+// proves nothing yet: the next read must not follow at once.
+func outcome(err error, useful bool) freshness.Outcome {
 	switch {
-	case err == nil:
+	case err == nil && useful:
 		return freshness.Answered
-	case errors.Is(err, object.ErrNotFound):
+	case err == nil, errors.Is(err, object.ErrNotFound):
 		return freshness.Empty
 	}
 	return freshness.Failed
@@ -219,28 +235,29 @@
 func (f *Follower) readOutages(ctx context.Context) {
 	f.mu.Lock()
 	start := f.proof.uptime()
-	due := f.proof.outages.asOf == 0 || start-f.proof.outages.at >= outageRefreshAge
+	list := f.proof.outages.List()
+	due := list.AsOf == 0 || start-list.At >= outageRefreshAge || object.EraOf(list.AsOf) < f.era.Load()
 	f.mu.Unlock()
 	if !due {
 		return
 	}
 	names, asOf, err := f.proof.outageSource.OutOfService(ctx)
 	if err == nil {
-		f.applyOutages(outageList{names: names, asOf: asOf, at: start})
+		f.applyOutages(outage.List{Names: names, AsOf: asOf, At: start})
 	}
 }
 
 // applyOutages puts a list of outages in force if it is newer than the current one.
-func (f *Follower) applyOutages(o outageList) {
+func (f *Follower) applyOutages(l outage.List) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	current := &f.proof.outages
-	if o.asOf < current.asOf || o.asOf == current.asOf && o.at <= current.at {
-		return
-	}
-	changed := !slices.Equal(o.names, current.names)
-	*current = o
-	if changed {
+	f.proof.outages = f.proof.outages.With(f.proof.uptime(), l)
+	f.putOutagesInForce()
+}
+
+// putOutagesInForce puts the outages in force if they have changed. The caller holds mu.
+func (f *Follower) putOutagesInForce() {
+	if names := f.proof.outages.Names(f.proof.uptime()); !slices.Equal(names, f.proof.outOfService) {
 		f.updateEffective()
 	}
 }
@@ -251,18 +268,24 @@
 	defer cancel()
 	start := f.proof.uptime()
 	var reply Proof
-	err := f.caller.Call(ctx, peer, proofMethod, Notice{Revision: f.Current().Revision, From: f.fleet.Self()}, &reply)
+	err := f.caller.Call(ctx, peer, proofMethod, f.notice(), &reply)
 	f.mu.Lock()
 	f.proof.freshness.RecordAsk(err == nil)
 	f.mu.Unlock()
-	if err != nil || !reply.Known {
+	if err != nil {
+		return
+	}
+	f.recordNotice(Notice{Revision: reply.Revision, Number: reply.Number, Era: reply.Era, Settling: reply.Settling, From: peer})
+	if !reply.Known || reply.Era < f.era.Load() {
 		return
 	}
-	f.RecordRevision(reply.Revision, peer)
 	f.mu.Lock()
-	f.proof.claimed = f.proof.claimed.later(observation{revision: reply.Revision, at: start - reply.Age, known: true})
+	p := f.proof
+	p.claimed = p.claimed.later(f.ifProof(observation{revision: reply.Revision, at: start - reply.Age, known: true}))
+	p.outages = p.outages.With(p.uptime(), outage.List{Names: reply.Outages, AsOf: reply.OutagesAsOf, At: start - reply.OutagesAge}).
+		WithHeld(p.uptime(), reply.OutagesAsOf, reply.Held, start+reply.HeldFor)
+	f.putOutagesInForce()
 	f.mu.Unlock()
-	f.applyOutages(outageList{names: reply.Outages, asOf: reply.OutagesAsOf, at: start - reply.OutagesAge})
 }
 
 // ownProof returns the proof that this daemon gives to peers.
@@ -273,9 +296,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age, known := f.proofAge()
-	outages := f.proof.outages
+	now, list, own := f.proof.uptime(), f.proof.outages.List(), f.noticeLocked()
+	held, until := f.proof.outages.Held(now)
 	return Proof{
-		Known: known, Age: age, Revision: f.applied.Load().snapshot.Revision,
-		Outages: outages.names, OutagesAsOf: outages.asOf, OutagesAge: f.proof.uptime() - outages.at,
+		Known: known && !f.isSuperseded(), Age: age, Revision: own.Revision, Number: own.Number, Era: own.Era, Settling: own.Settling,
+		Outages: list.Names, OutagesAsOf: list.AsOf, OutagesAge: now - list.At,
+		Held: held, HeldFor: max(0, until-now),
 	}
 }
--- a/config/revision/pull.go
+++ b/config/revision/pull.go
@@ -31,6 +31,11 @@
 		})
 		return
 	}
+	if isOlder(next.snapshot, f.Current()) {
+		f.refuseOlder(next.snapshot)
+		f.update(spread.FetchFailed{Number: a.Number})
+		return
+	}
 	if a.From == "" && next.snapshot.Revision < f.Current().Revision {
 		f.refused(a.From, ErrBehind)
 	}
--- a/config/revision/receiver.go
+++ b/config/revision/receiver.go
@@ -22,6 +22,11 @@
 type Notice struct {
 	Revision uint64
 	From     member.ID
+	// Number is the operators' own number of the configuration in force. Era is the latest era of
+	// the store that the daemon knows of; Revision may be of an earlier one.
+	Number, Era uint64
+	// Settling is the time for which reads of the era are no proof yet.
+	Settling time.Duration
 }
 
 // Proof states how long ago a daemon's configuration was proved to be the newest.
@@ -30,14 +35,19 @@
 	Known bool
 	// Age is the time since the start of the read of the store that is the proof.
 	Age time.Duration
-	// Revision is the revision in force at the daemon.
-	Revision uint64
+	// Revision is the revision in force at the daemon; Number, Era and Settling are as in Notice.
+	Revision, Number, Era uint64
+	Settling              time.Duration
 	// Outages holds the names of the data centres out of service, OutagesAsOf the store's
 	// version as of which the list holds (0 if it is unknown), and OutagesAge the time since
 	// the list was read.
 	Outages     []string
 	OutagesAsOf uint64
 	OutagesAge  time.Duration
+	// Held holds the data centres that are out of service for HeldFor longer although the list
+	// doesn't name them; see package outage.
+	Held    []string
+	HeldFor time.Duration
 }
 
 // Request asks for the manifest, or for a chunk.
@@ -76,15 +86,15 @@
 // Notice records the revision in force at the caller and returns the one in force here.
 func (r *Receiver) Notice(notice Notice, reply *Notice) (err error) {
 	defer mesh.Recover(&err)
-	r.follower.RecordRevision(notice.Revision, notice.From)
-	*reply = Notice{Revision: r.follower.Current().Revision, From: r.follower.fleet.Self()}
+	r.follower.recordNotice(notice)
+	*reply = r.follower.notice()
 	return nil
 }
 
 // Proof records the revision in force at the caller and returns this daemon's proof.
 func (r *Receiver) Proof(notice Notice, reply *Proof) (err error) {
 	defer mesh.Recover(&err)
-	r.follower.RecordRevision(notice.Revision, notice.From)
+	r.follower.recordNotice(notice)
 	*reply = r.follower.ownProof()
 	return nil
 }
--- a/config/snapshot/snapshot.go
+++ b/config/snapshot/snapshot.go
@@ -35,7 +35,10 @@
 // Snapshot is one revision of the configuration.
 type Snapshot struct {
 	// Revision increases with each release note that is published; 0 is the empty configuration.
-	Revision      uint64
+	Revision uint64
+	// Number is the operators' own number of the configuration, which rises with each change; 0 if
+	// it has none.
+	Number        uint64
 	Organisations map[string]organisation.Organisation
 	Routes        map[string]route.Route
 	Services      map[string]service.Service
@@ -76,6 +79,12 @@
 	return s
 }
 
+// WithNumber returns a copy with the operators' own number.
+func (s Snapshot) WithNumber(number uint64) Snapshot {
+	s.Number = number
+	return s
+}
+
 // WithOrganisation returns a copy with o, which replaces an organisation of the same name.
 func (s Snapshot) WithOrganisation(o organisation.Organisation) Snapshot {
 	s.Organisations, s.index = with(s.Organisations, o.Name, o), nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -79,6 +79,9 @@
 
 	callers, data, backends, operators *listener.Listener
 
+	// eraRaised signals that the store has gone on from an older copy; see startRewrites.
+	eraRaised chan struct{}
+
 	// closers close the started parts, the last started first.
 	closers []func()
 	// ended is closed when Close has run.
@@ -96,6 +99,7 @@
 	d := &Daemon{
 		settings: s, logger: logger, metrics: metrics.NewRegistry(), clock: time.Now,
 		lastNotice: map[backend.ID]time.Time{}, live: map[member.ID]bool{}, ended: make(chan struct{}),
+		eraRaised: make(chan struct{}, 1),
 	}
 	d.limitSettings.Store(&s.Limits)
 	d.observer = &observer{
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -54,6 +54,7 @@
 		client.WithTimeout(d.settings.Platform.Timeout),
 		client.WithOnUnreadable(d.objectUnreadable),
 		client.WithOnCall(d.storeCalled),
+		client.WithOnEra(d.storeEraRaised),
 	}
 	if d.onPlatform() {
 		options = append(options, client.WithAttempts(platformStoreAttempts))
@@ -106,6 +107,10 @@
 	o := operator.New(objectReader{client: c, observed: store}, d.settings.Datacentres)
 	options = append(options,
 		revision.WithProof(o, maxProofAge, uptime),
+		revision.WithOnEra(func(era uint64) {
+			c.LearnEra(era)
+			d.recordStoreEra(era)
+		}),
 		revision.WithOnStoreAnswered(func(since time.Time) { go d.members.StoreAnswered(since) }))
 	return revision.New(o, d.members, d.mesh, o, options...)
 }
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -147,6 +147,7 @@
 	d.follower = d.newFollower(platform, store)
 	d.onClose(d.follower.Close)
 	d.configuration.follower.Store(d.follower)
+	d.startRewrites()
 }
 
 func (d *Daemon) startIngress() {
@@ -266,6 +267,10 @@
 		event.StoreBehind.Log(&d.logger).Uint64("revision", d.configuration.Current().Revision).Send()
 		return
 	}
+	if errors.Is(err, revision.ErrOlder) {
+		event.OlderKept.Log(&d.logger).Uint64("revision", d.configuration.Current().Revision).Send()
+		return
+	}
 	event.RevisionRefused.Log(&d.logger).Str("from", string(from)).Str("reason", err.Error()).Send()
 }
 
--- a/fleet/departure/departure.go
+++ b/fleet/departure/departure.go
@@ -10,7 +10,8 @@
 //	err = l.Add(ctx, departure.Process{ID: "rounds-3", Incarnation: 1700000000000})
 //
 // Errors of the store wrap those of package object. After an error of Add it is unknown
-// whether the process has been stored, and Add is to be called again.
+// whether the process has been stored, and Add is to be called again. A store that goes on
+// from an older copy may have lost what it had acknowledged: Rewrite stores it again.
 package departure
 
 import (
@@ -72,6 +73,8 @@
 	processes []Process
 	// loaded reports whether version and processes are believed to be those in the store.
 	loaded bool
+	// known holds the processes that were in the store at some time. Each write contains them.
+	known []Process
 }
 
 // New returns the list of the daemon's VM. It calls the store only in Load and Add.
@@ -111,10 +114,39 @@
 	return err
 }
 
-func (l *List) contains(p Process) bool {
-	return slices.ContainsFunc(l.processes, func(k Process) bool {
-		return k.Same(p)
-	})
+// Rewrite writes the list again if the store lacks a process that it had acknowledged. If there
+// is none that matters, it makes no call.
+func (l *List) Rewrite(ctx context.Context) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known = slices.DeleteFunc(l.known, l.isOld)
+	if len(l.known) == 0 {
+		return nil
+	}
+	l.loaded = false
+	if err := l.load(ctx); err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(l.known, func(p Process) bool { return !l.contains(p) }) {
+		return nil
+	}
+	err := l.put(ctx, l.processes)
+	l.loaded = err == nil
+	return err
+}
+
+func (l *List) contains(p Process) bool { return slices.ContainsFunc(l.processes, p.Same) }
+
+// isOld reports whether a process may be dropped from the list.
+func (l *List) isOld(p Process) bool { return l.clock().Sub(time.UnixMilli(p.StoredAt)) > MaxAge }
+
+// remember adds processes to those that were in the store.
+func (l *List) remember(processes []Process) {
+	for _, p := range processes {
+		l.known = slices.DeleteFunc(l.known, func(k Process) bool { return k.Same(p) || l.isOld(k) })
+		l.known = append(l.known, p)
+	}
+	l.known = l.known[max(0, len(l.known)-maxProcesses):]
 }
 
 func (l *List) load(ctx context.Context) error {
@@ -133,22 +165,34 @@
 		return fmt.Errorf("read departures at %q: %w", l.key, err)
 	}
 	l.version, l.processes, l.loaded = found.Version, processes, true
+	l.remember(processes)
 	return nil
 }
 
+// write writes the list with p, of which the latest time counts.
 func (l *List) write(ctx context.Context, p Process) error {
-	now := l.clock()
 	if p.StoredAt == 0 {
-		p.StoredAt = now.UnixMilli()
+		p.StoredAt = l.clock().UnixMilli()
 	}
 	processes := slices.DeleteFunc(slices.Clone(l.processes), func(k Process) bool {
 		if k.Same(p) {
 			p.StoredAt = max(p.StoredAt, k.StoredAt)
 			return true
 		}
-		return now.Sub(time.UnixMilli(k.StoredAt)) > MaxAge
+		return l.isOld(k)
 	})
-	processes = append(processes, p)
+	return l.put(ctx, append(processes, p))
+}
+
+// put writes the processes and those that were in the store before.
+func (l *List) put(ctx context.Context, processes []Process) error {
+	var lost []Process
+	for _, k := range l.known {
+		if !l.isOld(k) && !slices.ContainsFunc(processes, k.Same) {
+			lost = append(lost, k)
+		}
+	}
+	processes = append(lost, processes...)
 	processes = processes[max(0, len(processes)-maxProcesses):]
 	value, err := json.Marshal(processes)
 	if err != nil {
@@ -159,5 +203,6 @@
 		return fmt.Errorf("write departures at %q: %w", l.key, err)
 	}
 	l.version, l.processes = written.Version, processes
+	l.remember(processes)
 	return nil
 }
--- a/fleet/departure/keeper/keeper.go
+++ b/fleet/departure/keeper/keeper.go
@@ -1,7 +1,8 @@
 // Package keeper keeps the departures that one daemon acknowledges, so that the daemon still
 // knows them after a crash: in the platform's store and, as copies, at other daemons. Either is
 // enough for the acknowledgement, so backend servers can leave in order while the store is
-// unavailable. A departure that is only copied is stored as soon as the store answers.
+// unavailable. A departure that is only copied is stored as soon as the store answers; one that
+// the store has lost, because it has gone on from an older copy, is stored again by Rewrite.
 //
 // A Keeper also holds copies for other daemons, and passes on what a daemon that has restarted
 // asks of the fleet.
@@ -101,6 +102,8 @@
 	// kept holds the latest departures that Add has kept, unstored those that are yet to be
 	// stored.
 	kept, unstored []departure.Process
+	// rewrite is true if the store may have lost what it had acknowledged.
+	rewrite bool
 }
 
 // New returns a Keeper and starts its goroutine.
@@ -157,6 +160,15 @@
 	}
 }
 
+// Rewrite stores the departures again that the store had acknowledged and may have lost, because
+// it has gone on from an older copy.
+func (k *Keeper) Rewrite() {
+	k.mu.Lock()
+	k.rewrite = true
+	k.mu.Unlock()
+	k.StoreAnswered()
+}
+
 // Add keeps the departure of a process; incarnation is 0 if it isn't known. It returns once the
 // departure is stored, or enough daemons have a copy. Otherwise its error wraps ErrNotKept. A
 // departure that was kept before costs no calls.
@@ -263,9 +275,33 @@
 	k.unstored = k.unstored[max(0, len(k.unstored)-maxRemembered):]
 }
 
-// storeRest stores the departures that are yet to be stored, until one fails. It reports
-// whether none remains.
+// rewriteLost stores the departures again that the store may have lost, and reports whether that
+// is done.
+func (k *Keeper) rewriteLost() bool {
+	k.mu.Lock()
+	due := k.rewrite
+	k.rewrite = false
+	k.mu.Unlock()
+	if !due {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(k.ctx, keepTimeout)
+	defer cancel()
+	if k.list.Rewrite(ctx) == nil {
+		return true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.rewrite = true
+	return false
+}
+
+// storeRest stores the departures that the store has lost or that are yet to be stored, until one
+// fails. It reports whether none remains.
 func (k *Keeper) storeRest() bool {
+	if !k.rewriteLost() {
+		return false
+	}
 	for {
 		k.mu.Lock()
 		if len(k.unstored) == 0 {
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -128,6 +128,10 @@
 // StoreAnswered reports that the platform's store answered a call that began at since.
 func (m *Membership) StoreAnswered(since time.Time) { m.update(roster.StoreAnswered{CalledAt: since}) }
 
+// RewriteRecord writes this daemon's record again unless the store has it. It is to be called when
+// the store has gone on from an older copy.
+func (m *Membership) RewriteRecord() { m.update(roster.StoreRestored{}) }
+
 // Leave announces to the fleet that this daemon takes no new work. It returns when the
 // record in the store has been written, or the error of ctx when ctx ends.
 func (m *Membership) Leave(ctx context.Context) error {
--- a/fleet/roster/event.go
+++ b/fleet/roster/event.go
@@ -32,6 +32,9 @@
 	Depart struct{}
 	// StoreRecords are member records read from the platform's store.
 	StoreRecords struct{ Records []Record }
+	// StoreRestored reports that the platform's store has gone on from an older copy: the record
+	// of this daemon that it had acknowledged may be gone.
+	StoreRestored struct{}
 	// StoreAnswered reports that the platform's store answered a call made at CalledAt.
 	StoreAnswered struct{ CalledAt time.Time }
 )
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -186,6 +186,8 @@
 		r.depart()
 	case StoreRecords:
 		r.mergeRecords(e.Records)
+	case StoreRestored:
+		r.rewriteRecord()
 	case StoreAnswered:
 		r.connectivity.recordStoreAnswer(e.CalledAt, r.self.ID)
 	}
--- a/fleet/roster/self.go
+++ b/fleet/roster/self.go
@@ -38,6 +38,17 @@
 	r.pushFresh()
 }
 
+// rewriteRecord asks for this daemon's record to be written again, or to be removed again if the
+// daemon has departed.
+func (r *Roster) rewriteRecord() {
+	switch {
+	case r.self.Left:
+		r.emit(DeleteRecord{ID: r.self.ID, Incarnation: r.self.Incarnation})
+	case r.recordRequested:
+		r.emit(WriteRecord{Record: r.ownRecord()})
+	}
+}
+
 // depart sends all neighbours the record of this daemon as dead, so that they don't
 // have to detect its end by failed probes.
 func (r *Roster) depart() {
--- a/monitor/event/catalogue.go
+++ b/monitor/event/catalogue.go
@@ -90,6 +90,10 @@
 	StoreCalled      = debug(6105, "store-called", "A call to the platform's store has ended.")
 	ObjectUnreadable = warn(6104, "object-unreadable", "An object in the store, probably of another writer, can't be decoded: it is ignored, and all others are used.")
 	StoreBehind      = warn(6103, "store-behind", "The store holds a lower revision than the one in force, as after the restore of a backup. It is ignored: publish the configuration again.")
+
+	StoreEraRaised = warn(6301, "store-era-raised", "The platform's store has gone on from an older copy and may have lost what it had acknowledged; this daemon's record and the departures that it has acknowledged are written again.")
+	OlderKept      = warn(6302, "older-configuration-refused", "The store has gone on from a copy with an older configuration than the one in force, which stays: write the configuration again. Until then requests that need a key are refused once the last proof is too old.")
+	StoreRewritten = info(6303, "store-rewritten", "What the store had acknowledged to this daemon is being written again unless the store still has it.")
 )
 
 // Operators.
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -3,7 +3,8 @@
 // A Store has the versions, conditional writes, lists by prefix and long-poll
 // watches of the platform's store. It counts calls and simulates faults: it can be
 // unavailable, answer slowly, lose the answer to a write that took effect, or be
-// restored from an old backup. It is safe for concurrent use.
+// restored from an old backup. Once it has an era, the era rises with each restart from a
+// backup. It is safe for concurrent use.
 //
 // # Usage
 //
@@ -12,10 +13,13 @@
 //	store.SetFaults(memory.Faults{Unavailable: true})
 //	backup := store.Backup()
 //	store.Restore(backup)
+//	store.SetEra(1)
+//	store.RestartFrom(backup) // era 2
 package memory
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -30,6 +34,9 @@
 // DefaultWatchTimeout is the default time after which a watch without changes returns.
 const DefaultWatchTimeout = 10 * time.Second
 
+// ErrHistoryGone reports a watch from a version that a store with an era doesn't have.
+var ErrHistoryGone = errors.New("store has no history from this version")
+
 // Faults are the current faults of a store.
 type Faults struct {
 	// Unavailable makes every call fail with object.ErrUnavailable, including watches that wait.
@@ -61,8 +68,10 @@
 	// records holds the last object of each key, or its tombstone with Deleted set.
 	records map[string]object.Object
 	version uint64
-	faults  Faults
-	counts  Counts
+	// era is 0 for a store without eras.
+	era    uint64
+	faults Faults
+	counts Counts
 	// changed is closed, and replaced, at each change of the content or the faults.
 	changed   chan struct{}
 	watchWait time.Duration
@@ -117,6 +126,31 @@
 	s.wakeWatches()
 }
 
+// SetEra sets the era, 0 for a store without eras.
+func (s *Store) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+	s.wakeWatches()
+}
+
+// Era returns the era, 0 for a store without eras.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// RestartFrom replaces the content and the version by those of the backup and raises the
+// era by one. It ends the watches that wait.
+func (s *Store) RestartFrom(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records, s.version = cloneRecords(b.records), b.version
+	s.era++
+	s.wakeWatches()
+}
+
 // Get returns the object at the key. Errors: object.ErrNotFound and object.ErrUnavailable.
 func (s *Store) Get(ctx context.Context, key string) (object.Object, error) {
 	if err := s.begin(ctx, func(c *Counts) { c.Gets++ }); err != nil {
@@ -188,11 +222,18 @@
 
 // Watch waits until an object under the prefix changes after the version after, or
 // the time for a watch is over. If the store's version is below after, the store was
-// restored from a backup, and Watch returns all objects under the prefix at once.
+// restored from a backup, and Watch returns all objects under the prefix at once; with an
+// era, it returns ErrHistoryGone. A watch that waits while the era rises ends with
+// object.ErrUnavailable.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]object.Object, uint64, error) {
 	if err := s.begin(ctx, func(c *Counts) { c.Watches++ }); err != nil {
 		return nil, 0, err
 	}
+	era := s.era
+	if era > 0 && after > s.version {
+		s.mu.Unlock()
+		return nil, 0, ErrHistoryGone
+	}
 	timer := time.NewTimer(s.watchWait)
 	defer timer.Stop()
 	for {
@@ -210,7 +251,7 @@
 		case <-changed:
 		}
 		s.mu.Lock()
-		if s.faults.Unavailable {
+		if s.faults.Unavailable || s.era != era {
 			s.mu.Unlock()
 			return nil, 0, object.ErrUnavailable
 		}
--- a/store/object/object.go
+++ b/store/object/object.go
@@ -14,7 +14,8 @@
 // prefix has a version above after, or a time limit of the server passes. It returns
 // the changed objects (deleted ones with Deleted set) and the store's version as of
 // which they are complete; a version below after means that the store was restored
-// from a backup. Each change in the store takes the next version.
+// from a backup, and one of another era (EraOf) that it goes on from an older copy. In both
+// cases the objects are all that it holds. Each change in the store takes the next version.
 //
 // # Usage
 //
@@ -44,7 +45,7 @@
 // Object is one object of the store.
 type Object struct {
 	Key string
-	// Version is the store's version at the object's last change.
+	// Version is the store's version at the object's last change; see VersionIn.
 	Version uint64
 	Value   []byte
 	// Deleted is set only on results of Watch: the object was deleted at Version.
