--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -97,6 +97,9 @@
 	// memory is shared by all ports.
 	memory *holder.Book
 
+	// eraRaised signals that the store has gone on from an older copy; see startRewrites.
+	eraRaised chan struct{}
+
 	// closers close the started parts, the last started first.
 	closers []func()
 	// ended is closed when Close has run.
@@ -114,6 +117,7 @@
 	d := &Daemon{
 		settings: s, logger: logger, metrics: metrics.NewRegistry(), clock: time.Now,
 		lastNotice: map[backend.ID]time.Time{}, traffic: crossing.New(), live: map[member.ID]string{}, ended: make(chan struct{}),
+		eraRaised: make(chan struct{}, 1),
 	}
 	d.limitSettings.Store(&s.Limits)
 	d.observer = &observer{
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -57,6 +57,7 @@
 		client.WithOnUnreadable(d.objectUnreadable),
 		client.WithOnCall(d.storeCalled),
 		client.WithDial(d.traffic.Dial(crossing.Store, link.New(client.DefaultTimeout).Dialer().DialContext)),
+		client.WithOnEra(d.storeEraRaised),
 	}
 	if d.onPlatform() {
 		options = append(options, client.WithAttempts(platformStoreAttempts))
@@ -109,6 +110,10 @@
 	o := operator.New(objectReader{client: c, observed: store}, d.settings.Datacentres)
 	options = append(options,
 		revision.WithProof(o, maxProofAge, uptime),
+		revision.WithOnEra(func(era uint64) {
+			c.LearnEra(era)
+			d.recordStoreEra(era)
+		}),
 		revision.WithOnStoreAnswered(func(since time.Time) { go d.members.StoreAnswered(since) }))
 	if d.regions() != nil {
 		options = append(options, revision.WithRegion(d.inSameRegion))
