soak: from seed 40000 on, the store goes on from an older copy

Change: two steps of a plan take a copy of the store, let it be away up to two seconds later and go on from the copy in the next era; the operators write again 200 ms after. Plans of lower seeds are unchanged.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -7,7 +7,8 @@
 // delayed, reset, refused, or blocked in one or both directions; when the store is
 // unavailable, slow or loses responses; when backend servers drain, crash, fail and come
 // back; and when keys are withdrawn. From seed 20000 on, backend servers also leave while the
-// store is away, their daemons are killed, and late heartbeats arrive. The scheduling within
+// store is away, their daemons are killed, and late heartbeats arrive. From seed 40000 on, the
+// store also goes on from an older copy of its content. The scheduling within
 // the processes does not depend on the seed: a seed that has failed may pass the next time.
 //
 // # Usage
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -28,6 +28,9 @@
 	// is away, and their daemons are killed.
 	firstLeavingSeed = 20000
 	leavingSteps     = 3
+	// From the seed firstEraSeed on, the store has eras, and goes on from an older copy eraSteps times.
+	firstEraSeed = 40000
+	eraSteps     = 2
 )
 
 var (
@@ -67,6 +70,14 @@
 			})
 		}
 	}
+	if seed >= firstEraSeed {
+		for range eraSteps {
+			list = append(list, step{
+				at: time.Duration(random.Int64N(int64(faultWindow))), duration: time.Duration(random.Int64N(int64(2 * time.Second))),
+				kind: "store-older-copy",
+			})
+		}
+	}
 	slices.SortStableFunc(list, func(a, b step) int { return int(a.at - b.at) })
 	return list
 }
@@ -103,6 +114,8 @@
 		f.applyStoreFaults(memory.Faults{LoseAnswers: 3}, s)
 	case "store-rate-limited":
 		f.platform.SetFaults(standin.Faults{TooManyRequests: 20})
+	case "store-older-copy":
+		f.goOnFromOlderCopy(s)
 	case "backend-fails":
 		b.failing.Store(true)
 		time.Sleep(s.duration)
@@ -198,6 +211,18 @@
 	f.oracle.recordWithdrawal(withdrawn, f.publishConfiguration())
 }
 
+// goOnFromOlderCopy lets the store be away for a moment and go on from a copy that is some seconds old. The operators write again
+// what it has lost.
+func (f *fleet) goOnFromOlderCopy(s step) {
+	const copyAge, rewriteDelay = 3 * time.Second, 200 * time.Millisecond
+	copied := f.platform.Store().Backup()
+	time.Sleep(copyAge)
+	f.applyStoreFaults(memory.Faults{Unavailable: true}, s)
+	f.platform.RestartFrom(copied)
+	time.Sleep(rewriteDelay)
+	f.publishConfiguration()
+}
+
 func (f *fleet) applyLinkFaults(p *proxy, s step) {
 	p.setFaults(s.linkFaults)
 	time.Sleep(s.duration)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -161,6 +161,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(f.platform.Close)
+	if seed >= firstEraSeed {
+		f.platform.Store().SetEra(1)
+	}
 	f.publishConfiguration()
 	for n := range vmCount {
 		ip := fmt.Sprintf("127.%d.%d.%d", 100+fleetNumber, os.Getpid()%250+1, n+1)
