--- a/choice/picker/picker.go
+++ b/choice/picker/picker.go
@@ -9,6 +9,9 @@
 // service then decides which backend servers receive regular traffic; if they lack capacity, some that only their
 // breakers exclude are added.
 //
+// With WithRegions, a request goes to its own region unless package spill lets it leave, and to its home regions only in
+// any case. With WithExpectedCompletion, loads are weighed with the measured speed of each backend server.
+//
 // Among those, Pick chooses the less loaded of two random ones (M. Mitzenmacher, The Power of Two Choices in
 // Randomized Load Balancing, 2001).
 //
