choice/spill: nothing leaves to a region that is known to be full

What isn't heard of decays to no load, so the other region always looked idle. Change: the load abroad is averaged from the answers from there. A twentieth of the requests leaves while nothing is known, none while it is above the load at which requests come back, and no heavy ones unless there is known to be room. Older tests of what may leave now state that the other region has room.

--- a/choice/picker/region.go
+++ b/choice/picker/region.go
@@ -113,21 +113,25 @@
 	return max(s.penalizedLoad(now), p.spill.Load(now, s.backend.Service)+1/float64(s.slots()))
 }
 
-// observeRegion passes the average load of the region's backend servers in use to the spill after a report from one of them.
+// observeRegion passes the average load of a region's backend servers in use to the spill after a report from one of them.
 // Each counts once, by its last report: a full one answers soonest, with a refusal, and would count most otherwise.
 func (p *Picker) observeRegion(now time.Time, s *server) {
-	if p.spill == nil || !s.sameRegion {
+	if p.spill == nil {
 		return
 	}
 	sum, known := 0.0, 0
 	for _, peer := range s.group.servers {
-		if peer.sameRegion && peer.active && peer.report.Limit > 0 && now.Sub(peer.reportAt) <= loadDecayTime {
+		if peer.sameRegion == s.sameRegion && peer.active && peer.report.Limit > 0 && now.Sub(peer.reportAt) <= loadDecayTime {
 			sum += float64(peer.report.InUse+peer.report.Queued) / float64(peer.report.Limit)
 			known++
 		}
 	}
-	if known > 0 {
+	switch {
+	case known == 0:
+	case s.sameRegion:
 		p.spill.Observe(now, s.backend.Service, sum/float64(known))
+	default:
+		p.spill.ObserveAbroad(now, s.backend.Service, sum/float64(known))
 	}
 }
 
--- a/choice/picker/region_test.go
+++ b/choice/picker/region_test.go
@@ -42,8 +42,11 @@
 	for range 1000 {
 		now = now.Add(10 * time.Millisecond)
 		for _, s := range p.servers {
-			if s.sameRegion && full {
+			switch {
+			case s.sameRegion && full:
 				p.Update(now, ReportReceived{Backend: s.backend.ID, Report: report.Report{InUse: 4, Queued: 6, Limit: 4}})
+			case !s.sameRegion:
+				p.Update(now, ReportReceived{Backend: s.backend.ID, Report: report.Report{InUse: 1, Limit: 4}})
 			}
 		}
 		chosen, err := p.PickFor(now, req)
@@ -274,6 +277,7 @@
 			}
 			p.Update(now, ReportReceived{Backend: s.backend.ID, Report: r})
 		}
+		p.Update(now, ReportReceived{Backend: "i-06", Report: report.Report{InUse: 1, Limit: 4}})
 		if n%10 == 0 {
 			p.Update(now, Tick{})
 		}
--- a/choice/scenario/model_test.go
+++ b/choice/scenario/model_test.go
@@ -17,6 +17,8 @@
 	slowFactor float64
 	// errorShare and hangShare are the fractions of requests that fail and that are never answered.
 	errorShare, hangShare float64
+	// refuseShare is the fraction of requests that the backend server itself refuses, whatever its load.
+	refuseShare float64
 	// stuck means that no request is completed, not even those that already run.
 	stuck bool
 }
@@ -140,6 +142,10 @@
 	if m.fault.hangShare > 0 && m.w.random.Float64() < m.fault.hangShare {
 		return
 	}
+	if m.fault.refuseShare > 0 && m.w.random.Float64() < m.fault.refuseShare {
+		m.w.after(time.Millisecond, func() { m.finish(attempt, verdict.Shed) })
+		return
+	}
 	v := verdict.OK
 	if m.w.random.Float64() < m.fault.errorShare {
 		v, took = verdict.Error, took/2
--- a/choice/scenario/region_test.go
+++ b/choice/scenario/region_test.go
@@ -185,3 +185,22 @@
 		}
 	}
 }
+
+// TestNothingLeavesWhileAllRegionsRefuse replays backend servers of both regions that refuse most requests for some seconds,
+// whatever their load, beside demand above the room. Nowhere is better, so at most a tenth of the requests may leave their region.
+func TestNothingLeavesWhileAllRegionsRefuse(t *testing.T) {
+	const refused, maxLeft = 0.55, 0.1
+	s := twoRegions(*seeds, 96, 1.1)
+	w := newWorld(s)
+	w.startLoad()
+	w.run(3 * time.Second)
+	for _, m := range w.servers {
+		m.fault.refuseShare = refused
+	}
+	seen := runRegions(w, 8*time.Second)
+	offered, left := seen[0].offered+seen[1].offered, w.crossings[0]+w.crossings[1]
+	t.Logf("%d attempts left their region, of %d requests", left, offered)
+	if float64(left) > maxLeft*float64(offered) {
+		t.Errorf("%d attempts left their region while both refuse, of %d requests; want at most %.2f", left, offered, maxLeft)
+	}
+}
--- a/choice/spill/spill.go
+++ b/choice/spill/spill.go
@@ -18,6 +18,10 @@
 // up to seconds old, so a light request leaves only after a backend server here has refused
 // it; a heavy one would be sent twice.
 //
+// Other regions are known by the answers from there only. While nothing is known, few requests
+// leave; none do while the average load there is above closeLoad too, as when the backend
+// servers of all regions refuse requests.
+//
 // No daemon coordinates: each has an equal part of the share, the share divided by the
 // number of live daemons of the region, as a token bucket in bytes. A daemon whose region
 // has no backend server left for a request uses the same bucket. Requests that must not run
@@ -28,6 +32,7 @@
 //	s := spill.New(seed)
 //	s.SetRate(now, bytesPerSecond)              // this daemon's part of the share
 //	s.Observe(now, "rounds", load)              // a report from the own region
+//	s.ObserveAbroad(now, "rounds", load)        // a report from another one
 //	if s.Allow(now, "rounds", r) { s.Charge(now, r.Bytes) }
 //	s.Charge(now, answerBytes)                  // once the answer's size is known
 //
@@ -52,6 +57,8 @@
 	observationTime = time.Second
 	// minReports is the weight of recent reports without which the region's load counts as unknown.
 	minReports = 2
+	// minAbroadReports is the same for other regions, of which fewer reports come: one counts for 3.6 s.
+	minAbroadReports = 0.3
 	// stepInterval is the time between two steps of the fraction: several round trips to another region, so
 	// that a step shows in the reports before the next.
 	stepInterval = 250 * time.Millisecond
@@ -61,6 +68,10 @@
 	fallStep = 0.2
 	// maxFraction is the fraction at which all requests may leave.
 	maxFraction = 2
+	// abroadTime is the time constant of the average load in other regions, which is heard of by the requests that leave.
+	abroadTime = 3 * time.Second
+	// explorationFraction is the fraction of the requests that leave at most while nothing is known of other regions.
+	explorationFraction = 0.05
 	// HeavyBytes is the size of a body from which a request is heavy.
 	HeavyBytes = 8 << 10
 	// burstTime is the time for which unused bytes are saved.
@@ -104,7 +115,9 @@
 	rate, tokens float64
 	at           time.Time
 	services     map[string]*room
-	counts       Counts
+	// abroad holds the loads that guards of other regions report.
+	abroad map[string]*room
+	counts Counts
 }
 
 // room is what is known of the room for one service in this region.
@@ -119,7 +132,7 @@
 
 // New returns a Spill that lets no request out until SetRate has been called. The seed determines its random choices.
 func New(seed uint64) *Spill {
-	return &Spill{random: rand.New(rand.NewPCG(seed, seed)), services: map[string]*room{}}
+	return &Spill{random: rand.New(rand.NewPCG(seed, seed)), services: map[string]*room{}, abroad: map[string]*room{}}
 }
 
 // SetRate sets this daemon's part of the share in bytes a second.
@@ -131,12 +144,41 @@
 // Observe records the load that a guard of this region reports for one of its backend servers.
 func (s *Spill) Observe(now time.Time, service string, load float64) {
 	r := s.room(service)
-	r.decay(now)
+	r.decay(now, observationTime)
 	r.sum += load
 	r.weight++
 	r.step(now)
 }
 
+// ObserveAbroad records the load that a guard of another region reports for one of its backend servers.
+func (s *Spill) ObserveAbroad(now time.Time, service string, load float64) {
+	r := s.abroad[service]
+	if r == nil {
+		r = &room{}
+		s.abroad[service] = r
+	}
+	r.decay(now, abroadTime)
+	r.sum += load
+	r.weight++
+}
+
+// usable returns the fraction up to which requests of a service may leave, by what is known of other regions: none if they
+// lack room as well.
+func (s *Spill) usable(now time.Time, service string) float64 {
+	r := s.abroad[service]
+	if r == nil {
+		return explorationFraction
+	}
+	r.decay(now, abroadTime)
+	switch {
+	case r.weight < minAbroadReports:
+		return explorationFraction
+	case r.sum/r.weight >= closeLoad:
+		return 0
+	}
+	return maxFraction
+}
+
 // Allow reports whether the request may leave the region. The caller must call Charge if the request does.
 func (s *Spill) Allow(now time.Time, service string, q Request) bool {
 	if q.Forced {
@@ -156,12 +198,12 @@
 // wanted reports whether the region lacks room and the request is among those that leave.
 func (s *Spill) wanted(now time.Time, service string, q Request) bool {
 	r := s.room(service)
-	r.decay(now)
+	r.decay(now, observationTime)
 	r.step(now)
 	if q.Here <= roomLoad || q.There+minGain > q.Here {
 		return false
 	}
-	share := r.fraction
+	share := min(r.fraction, s.usable(now, service))
 	if q.heavy() {
 		share--
 	} else if !q.Tried {
@@ -190,7 +232,7 @@
 	if r == nil {
 		return 0
 	}
-	r.decay(now)
+	r.decay(now, observationTime)
 	return r.load()
 }
 
@@ -200,7 +242,7 @@
 	if r == nil {
 		return 0
 	}
-	r.decay(now)
+	r.decay(now, observationTime)
 	r.step(now)
 	return r.fraction
 }
@@ -227,9 +269,9 @@
 }
 
 // decay reduces the weight of earlier reports.
-func (r *room) decay(now time.Time) {
+func (r *room) decay(now time.Time, constant time.Duration) {
 	if passed := now.Sub(r.at); passed > 0 {
-		f := math.Exp(-float64(passed) / float64(observationTime))
+		f := math.Exp(-float64(passed) / float64(constant))
 		r.sum, r.weight = r.sum*f, r.weight*f
 		r.at = now
 	}
--- a/choice/spill/spill_test.go
+++ b/choice/spill/spill_test.go
@@ -8,10 +8,18 @@
 
 var start = time.Unix(1_800_000_000, 0)
 
-// feed reports the load ten times a second for d and returns the time after it.
+// feed reports the load ten times a second for d, and a low one of another region, and returns the time after it.
 func feed(s *Spill, now time.Time, d time.Duration, load float64) time.Time {
+	return feedBoth(s, now, d, load, 0.4)
+}
+
+// feedBoth is like feed with the load of another region; it reports none of that if it is negative.
+func feedBoth(s *Spill, now time.Time, d time.Duration, load, abroad float64) time.Time {
 	for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
 		s.Observe(now, "rounds", load)
+		if abroad >= 0 {
+			s.ObserveAbroad(now, "rounds", abroad)
+		}
 	}
 	return now
 }
@@ -105,6 +113,7 @@
 		sent, from := 0, now
 		for ; now.Before(from.Add(30 * time.Second)); now = now.Add(20 * time.Millisecond) {
 			s.Observe(now, "rounds", 1.5)
+			s.ObserveAbroad(now, "rounds", 0.4)
 			if s.Allow(now, "rounds", r) {
 				s.Charge(now, bytes)
 				sent += bytes
@@ -126,3 +135,22 @@
 		t.Error("a request that must not run in this region was kept in it")
 	}
 }
+
+// TestNothingLeavesToRegionsWithoutRoom checks that nothing leaves while other regions are known to be full as well, and that
+// few requests, and no heavy ones, do while nothing is known of them.
+func TestNothingLeavesToRegionsWithoutRoom(t *testing.T) {
+	for _, c := range []struct {
+		abroad   float64
+		from, to int
+	}{{1.2, 0, 0}, {-1, 10, 100}, {0.4, 1000, 1000}} {
+		s := New(1)
+		s.SetRate(start, 1e6)
+		now := feedBoth(s, start, 10*time.Second, 1.5, c.abroad)
+		if n := allowed(s, now, light); n < c.from || n > c.to {
+			t.Errorf("load abroad %.1f (negative if unknown): %d of 1000 light requests may leave, want %d to %d", c.abroad, n, c.from, c.to)
+		}
+		if n := allowed(s, now, heavy); n > 0 && c.to < 1000 {
+			t.Errorf("load abroad %.1f (negative if unknown): %d of 1000 heavy requests may leave, want none", c.abroad, n)
+		}
+	}
+}
