rollout: requests stay shifted until the completion is stored

Cause: between the last step and the stored state the share fell back to the trial's, towards backend servers that stop at any moment.

--- a/rollout/conductor/conductor.go
+++ b/rollout/conductor/conductor.go
@@ -68,6 +68,8 @@
 	widenAge = 0.55
 	// widenShare is the share of requests while an order widens.
 	widenShare = 0.3
+	// completingTime is how long all requests may go to the new version while its completion is being written.
+	completingTime = time.Second
 	// widenTime and shiftTime are how long the steps take at least; short orders spend widenPart and shiftPart of their
 	// duration. Requests of a fraction of a second end meanwhile. With few requests a step waits for answers, up to two
 	// and three times as long.
@@ -376,8 +378,9 @@
 	if next, due := s.next(now); due {
 		actions = append(actions, s.enter(now, next)...)
 	}
+	actions = append(actions, s.write(now)...)
 	s.share = s.shareNow(now, b)
-	return append(actions, s.write(now)...)
+	return actions
 }
 
 // measure updates the rate of requests.
@@ -479,7 +482,10 @@
 		}
 		return 1
 	case Completing:
-		// The state is being written, or will be once the store is back.
+		// The old version's backend servers stop once the state is written, which takes long only if the store is away.
+		if s.writing && now.Sub(s.stepSince) < completingTime && float64(toNew) <= wide {
+			return 1
+		}
 		if float64(toNew) > allowed {
 			return 0
 		}
--- a/rollout/participant/conduct.go
+++ b/rollout/participant/conduct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"berylpass/decision"
@@ -52,7 +53,9 @@
 func (p *Participant) take(r Report) Reply {
 	now := p.now()
 	p.mu.Lock()
-	p.asked[r.Order] = now
+	if slices.ContainsFunc(p.exposure.Orders(), func(o order.Order) bool { return o.Key() == r.Order }) {
+		p.asked[r.Order] = now
+	}
 	var actions []decision.Action
 	if r.Told.Final() {
 		actions = p.conductor.Update(now, conductor.Told{Order: r.Order, State: r.Told})
