--- a/choice/admission/admission.go
+++ b/choice/admission/admission.go
@@ -11,7 +11,7 @@
 // the share of the level that is admitted falls; the fewer, the faster it rises. Within a band around aim it stays as it
 // is: then the queues are full, so that no slot is idle, and not much is carried there in vain. A level is never admitted in a greater share than a more urgent one, and
 // never in less than leastShare, so that news keeps coming and none is shut out. Where fewer than minGuards have been
-// heard from lately, every request is admitted, and the guards' queues decide. Calls of running requests are always
+// heard from lately, every request is admitted, the share rises, and the guards' queues decide. Calls of running requests are always
 // admitted: refusing them would waste the slots of the runs that wait for them.
 //
 // Inside a level the share is cut from the organisations that ask for most, as far as this ingress sees: none of them
@@ -191,14 +191,15 @@
 	l := &s.levels[e.Level]
 	l.asked.add(now, e.Organisation)
 	refused, known := s.refused(now, e.Level)
-	if !known {
-		l.cut = 0
-	} else if now.Sub(l.steppedAt) >= stepInterval {
+	if now.Sub(l.steppedAt) >= stepInterval {
 		l.steppedAt = now
 		l.step(refused)
 	}
 	actions := l.changes(e)
 	share := s.share(e.Level)
+	if !known {
+		return actions
+	}
 	if e.Random < l.asked.part(e.Organisation, share) {
 		return actions
 	}
@@ -249,8 +250,8 @@
 	return urgency.Fourth
 }
 
-// refused returns the mean share of a level's newcomers that the guards heard from lately refuse. It returns false if
-// these are too few.
+// refused returns the mean share of a level's newcomers that the guards heard from lately refuse. It returns zero and
+// false if these are too few.
 func (s *service) refused(now time.Time, l urgency.Level) (share float64, known bool) {
 	shares := make([]float64, 0, len(s.rooms))
 	for _, h := range s.rooms {
--- a/choice/fairqueue/estimate.go
+++ b/choice/fairqueue/estimate.go
@@ -13,7 +13,8 @@
 
 // EstimateAhead returns an estimate of how many queued requests run before a new one of the rank with the given cost.
 func (q *Queue) EstimateAhead(r urgency.Rank, cost time.Duration) float64 {
-	l := &q.levels[r.Level]
+	at := laneOf(r)
+	l := &q.lanes[at]
 	own, begin := 0, l.clock
 	if f, ok := l.flows[r.Owner]; ok {
 		own, begin = len(f.items), max(begin, f.virtualTime)
@@ -21,16 +22,16 @@
 	// The new request is served after those whose virtual start lies before its own.
 	each := max(cost.Seconds(), time.Microsecond.Seconds())
 	begin += float64(own) * each
-	sameLevel := float64(own)
+	sameLane := float64(own)
 	for _, f := range l.active {
 		if f.organisation != r.Owner {
-			sameLevel += min(max(math.Floor((begin-f.virtualTime)/each)+1, 0), float64(len(f.items)))
+			sameLane += min(max(math.Floor((begin-f.virtualTime)/each)+1, 0), float64(len(f.items)))
 		}
 	}
-	total := sameLevel
-	for k := range q.levels {
-		if urgency.Level(k) != r.Level {
-			total += min(float64(q.levels[k].length), (sameLevel+1)*q.weights[k]/q.weights[r.Level])
+	total := sameLane
+	for k := range q.lanes {
+		if lane(k) != at {
+			total += min(float64(q.lanes[k].length), (sameLane+1)*q.weights[k]/q.weights[at])
 		}
 	}
 	return total
@@ -45,22 +46,23 @@
 	if q.weights == precedence {
 		return q.lastVictim(r, cost)
 	}
-	for k := urgency.Fourth; k > r.Level && k >= urgency.Third; k-- {
-		if l := &q.levels[k]; l.length > protectedLeast {
+	at, third := laneOf(r), laneOf(urgency.Rank{Level: urgency.Third})
+	for k := lane(laneCount - 1); k > at && k >= third; k-- {
+		if l := &q.lanes[k]; l.length > protectedLeast {
 			return newest(l.longest()), true
 		}
 	}
 	own := 0
-	if f, ok := q.levels[r.Level].flows[r.Owner]; ok {
+	if f, ok := q.lanes[at].flows[r.Owner]; ok {
 		own = len(f.items)
 	}
 	var longest *flow
-	for k := urgency.Call; k < urgency.Count; k++ {
+	for k := range q.lanes {
 		// The third level and the fourth yield to others and displace only their own requests.
-		if k != r.Level && (k >= urgency.Third || r.Level >= urgency.Third) {
+		if lane(k) != at && (lane(k) >= third || at >= third) {
 			continue
 		}
-		f := q.levels[k].longest()
+		f := q.lanes[k].longest()
 		if f != nil && (longest == nil || len(f.items) > len(longest.items)) {
 			longest = f
 		}
@@ -73,12 +75,13 @@
 
 // lastVictim is Victim with precedence.
 func (q *Queue) lastVictim(r urgency.Rank, cost time.Duration) (id.ID, bool) {
-	for k := urgency.Fourth; k > r.Level; k-- {
-		if l := &q.levels[k]; l.length > protectedLeast {
+	at := laneOf(r)
+	for k := lane(laneCount - 1); k > at; k-- {
+		if l := &q.lanes[k]; l.length > protectedLeast {
 			return newest(l.last()), true
 		}
 	}
-	l := &q.levels[r.Level]
+	l := &q.lanes[at]
 	own := l.clock
 	if f, ok := l.flows[r.Owner]; ok {
 		own = max(own, f.virtualTime) + float64(len(f.items))*cost.Seconds()
@@ -91,8 +94,8 @@
 	return newest(f), true
 }
 
-// last returns the flow whose newest request would run last, nil if the level has no queued requests.
-func (l *levelQueue) last() *flow {
+// last returns the flow whose newest request would run last, nil if the lane has no queued requests.
+func (l *laneQueue) last() *flow {
 	var last *flow
 	for _, f := range l.active {
 		if last == nil || f.lastStart() > last.lastStart() {
@@ -113,16 +116,18 @@
 
 // Last returns the request of a level that would run last. It returns false if the level has no queued requests.
 func (q *Queue) Last(l urgency.Level) (Item, bool) {
-	f := q.levels[l].last()
-	if f == nil {
-		return Item{}, false
+	lanes := q.ofLevel(l)
+	for k := len(lanes) - 1; k >= 0; k-- {
+		if f := lanes[k].last(); f != nil {
+			return f.items[len(f.items)-1], true
+		}
 	}
-	return f.items[len(f.items)-1], true
+	return Item{}, false
 }
 
 // longest returns the flow with the most queued requests, the first in order if there are several; nil if the
-// level has no queued requests.
-func (l *levelQueue) longest() *flow {
+// lane has no queued requests.
+func (l *laneQueue) longest() *flow {
 	var longest *flow
 	for _, f := range l.active {
 		if longest == nil || len(f.items) > len(longest.items) {
--- a/choice/fairqueue/fairqueue.go
+++ b/choice/fairqueue/fairqueue.go
@@ -9,7 +9,7 @@
 // requests are served in order of arrival.
 //
 // A request that can still be answered within its target goes before those of its level that can't, but for one in
-// LateTurn. Among calls, those of more urgent requests go first.
+// LateTurn. Calls go before newcomers, and have levels of their own, by the urgency of the requests that make them.
 //
 // # Usage
 //
@@ -28,14 +28,15 @@
 	"berylpass/config/class"
 )
 
-// Weights are the shares of the slot time that the levels get while all of them have queued requests.
-type Weights [urgency.Count]float64
+// weights are the shares of the slot time that the lanes get while all of them have queued requests.
+type weights [laneCount]float64
 
 var (
-	defaultWeights = Weights{urgency.Call: 64, urgency.First: 16, urgency.Second: 8, urgency.Third: 1, urgency.Fourth: 1}
+	defaultWeights = weights{64, 64, 64, 64, 16, 8, 1, 1}
 	// precedence leaves the second level a least share of 6% beside the first, the third 2% and the fourth 1%:
-	// enough for work to go on, little enough that none is served more often than a more urgent level.
-	precedence = Weights{urgency.Call: 4096, urgency.First: 400, urgency.Second: 24, urgency.Third: 8, urgency.Fourth: 4}
+	// enough for work to go on, little enough that none is served more often than a more urgent level. It is the same
+	// among calls, the least urgent of which has ten times the weight of the most urgent newcomer.
+	precedence = weights{400_000, 24_000, 8_000, 4_000, 400, 24, 8, 4}
 )
 
 const (
@@ -68,20 +69,20 @@
 
 // Queue is a fair queue of requests. It is not safe for concurrent use.
 type Queue struct {
-	weights Weights
-	levels  [urgency.Count]levelQueue
-	// clock is the virtual clock of the levels, in seconds.
+	weights weights
+	lanes   [laneCount]laneQueue
+	// clock is the virtual clock of the lanes, in seconds.
 	clock float64
 	// length is the number of queued requests.
 	length int
 }
 
-// levelQueue is the queue of a level.
-type levelQueue struct {
+// laneQueue is the queue of a lane.
+type laneQueue struct {
 	flows map[string]*flow
 	// active lists the flows with queued requests, in the order in which they got their first.
 	active []*flow
-	// virtualTime is the virtual time of the level among the levels; clock is the virtual clock of its flows.
+	// virtualTime is the virtual time of the lane among the lanes; clock is the virtual clock of its flows.
 	// Both are in seconds.
 	virtualTime, clock float64
 	length             int
@@ -89,7 +90,7 @@
 	turn int
 }
 
-// flow is the queue of one organisation in a level.
+// flow is the queue of one organisation in a lane.
 type flow struct {
 	organisation string
 	items        []Item
@@ -106,8 +107,8 @@
 // New returns an empty Queue.
 func New(options ...Option) *Queue {
 	q := &Queue{weights: defaultWeights}
-	for l := range q.levels {
-		q.levels[l].flows = make(map[string]*flow)
+	for l := range q.lanes {
+		q.lanes[l].flows = make(map[string]*flow)
 	}
 	for _, option := range options {
 		option(q)
@@ -121,15 +122,15 @@
 // Flows returns the number of flows in memory, with and without queued requests.
 func (q *Queue) Flows() int {
 	n := 0
-	for l := range q.levels {
-		n += len(q.levels[l].flows)
+	for l := range q.lanes {
+		n += len(q.lanes[l].flows)
 	}
 	return n
 }
 
 // Push adds a request at the end of its organisation's flow.
 func (q *Queue) Push(item Item) {
-	l := &q.levels[item.Rank.Level]
+	l := &q.lanes[laneOf(item.Rank)]
 	f := l.flow(item.Rank.Owner)
 	if l.length == 0 {
 		l.virtualTime = max(l.virtualTime, q.clock)
@@ -144,13 +145,21 @@
 }
 
 // Queued returns the number of queued requests of a level.
-func (q *Queue) Queued(l urgency.Level) int { return q.levels[l].length }
+func (q *Queue) Queued(l urgency.Level) int {
+	n := 0
+	for _, lane := range q.ofLevel(l) {
+		n += lane.length
+	}
+	return n
+}
 
 // Items returns the queued requests of a level, flow by flow.
 func (q *Queue) Items(l urgency.Level) []Item {
 	var all []Item
-	for _, f := range q.levels[l].active {
-		all = append(all, f.items...)
+	for _, lane := range q.ofLevel(l) {
+		for _, f := range lane.active {
+			all = append(all, f.items...)
+		}
 	}
 	return all
 }
@@ -158,19 +167,19 @@
 // Pop removes and returns the next request to run at the time now and charges its cost. It takes none that is less
 // urgent than the level least, and returns false if there is no other.
 func (q *Queue) Pop(now time.Time, least urgency.Level) (Item, bool) {
-	l := q.nextLevel(least)
+	l := q.nextLane(least)
 	if l == nil {
 		return Item{}, false
 	}
 	f, i := l.next(now)
 	item := f.items[i]
 	q.remove(l, f, i)
-	q.charge(l, f, item.Rank.Level, item.Cost)
+	q.charge(l, f, laneOf(item.Rank), item.Cost)
 	return item, true
 }
 
 // next returns the flow and the index of the request that is served next. There must be one.
-func (l *levelQueue) next(now time.Time) (*flow, int) {
+func (l *laneQueue) next(now time.Time) (*flow, int) {
 	l.turn++
 	if l.turn%LateTurn != 0 {
 		if f, i := l.first(func(item Item) bool { return item.InTime(now) }); f != nil {
@@ -181,31 +190,19 @@
 }
 
 // first returns the flow with the least virtual time among those with a suitable request, and the index of the
-// first such request. Requests that have inherited a more urgent level go first. It returns nil if there is none.
-func (l *levelQueue) first(suitable func(Item) bool) (best *flow, at int) {
+// first such request. It returns nil if there is none.
+func (l *laneQueue) first(suitable func(Item) bool) (best *flow, at int) {
 	for _, f := range l.active {
-		i := slices.IndexFunc(f.items, suitable)
-		if i < 0 {
-			continue
-		}
-		if best == nil || before(f.items[i], f, best.items[at], best) {
+		if i := slices.IndexFunc(f.items, suitable); i >= 0 && (best == nil || f.virtualTime < best.virtualTime) {
 			best, at = f, i
 		}
 	}
 	return best, at
 }
 
-// before reports whether the request a of the flow f goes before the request b of the flow g.
-func before(a Item, f *flow, b Item, g *flow) bool {
-	if a.Rank.Inherited != b.Rank.Inherited {
-		return a.Rank.Inherited < b.Rank.Inherited
-	}
-	return f.virtualTime < g.virtualTime
-}
-
 // Charge charges slot time for a request that runs without having been queued.
 func (q *Queue) Charge(r urgency.Rank, cost time.Duration) {
-	l := &q.levels[r.Level]
+	l := &q.lanes[laneOf(r)]
 	f := l.flow(r.Owner)
 	if len(f.items) == 0 {
 		f.virtualTime = max(f.virtualTime, l.clock)
@@ -213,7 +210,7 @@
 	if l.length == 0 {
 		l.virtualTime = max(l.virtualTime, q.clock)
 	}
-	q.charge(l, f, r.Level, cost)
+	q.charge(l, f, laneOf(r), cost)
 	if len(l.flows) > len(l.active)+maxIdleFlows {
 		l.dropIdle()
 	}
@@ -222,17 +219,17 @@
 // Settle corrects the slot time charged for a request by the difference between the actual and the charged
 // time.
 func (q *Queue) Settle(r urgency.Rank, difference time.Duration) {
-	l := &q.levels[r.Level]
+	l := &q.lanes[laneOf(r)]
 	if f, ok := l.flows[r.Owner]; ok {
 		f.virtualTime += difference.Seconds()
-		l.virtualTime += difference.Seconds() / q.weights[r.Level]
+		l.virtualTime += difference.Seconds() / q.weights[laneOf(r)]
 	}
 }
 
 // Remove removes and returns the request with the given ID. It returns false if the request is not queued.
 func (q *Queue) Remove(attempt id.ID) (Item, bool) {
-	for n := range q.levels {
-		l := &q.levels[n]
+	for n := range q.lanes {
+		l := &q.lanes[n]
 		for _, f := range l.active {
 			for i, item := range f.items {
 				if item.ID == attempt {
@@ -248,8 +245,8 @@
 // Filter removes and returns the requests for which drop returns true, in a deterministic order.
 func (q *Queue) Filter(drop func(Item) bool) []Item {
 	var dropped []Item
-	for n := range q.levels {
-		l := &q.levels[n]
+	for n := range q.lanes {
+		l := &q.lanes[n]
 		for a := len(l.active) - 1; a >= 0; a-- {
 			f := l.active[a]
 			for i := len(f.items) - 1; i >= 0; i-- {
@@ -263,12 +260,13 @@
 	return dropped
 }
 
-// nextLevel returns the level with the least virtual time among those with queued requests that are not less urgent
+// nextLane returns the lane with the least virtual time among those with queued requests that are not less urgent
 // than least; nil if there is none.
-func (q *Queue) nextLevel(least urgency.Level) *levelQueue {
-	var best *levelQueue
-	for n := range q.levels[:least+1] {
-		l := &q.levels[n]
+func (q *Queue) nextLane(least urgency.Level) *laneQueue {
+	var best *laneQueue
+	_, end := lanesOf(least)
+	for n := range q.lanes[:end] {
+		l := &q.lanes[n]
 		if l.length > 0 && (best == nil || l.virtualTime < best.virtualTime) {
 			best = l
 		}
@@ -277,8 +275,8 @@
 }
 
 // charge advances the virtual clocks to the virtual start of a request, and the virtual times of its flow and
-// level to the expected end.
-func (q *Queue) charge(l *levelQueue, f *flow, of urgency.Level, cost time.Duration) {
+// lane to the expected end.
+func (q *Queue) charge(l *laneQueue, f *flow, of lane, cost time.Duration) {
 	l.clock = max(l.clock, f.virtualTime)
 	q.clock = max(q.clock, l.virtualTime)
 	f.virtualTime += cost.Seconds()
@@ -286,7 +284,7 @@
 }
 
 // remove removes item i of a flow.
-func (q *Queue) remove(l *levelQueue, f *flow, i int) {
+func (q *Queue) remove(l *laneQueue, f *flow, i int) {
 	f.items = append(f.items[:i], f.items[i+1:]...)
 	l.length--
 	q.length--
@@ -306,7 +304,7 @@
 }
 
 // flow returns the flow of an organisation and creates it if necessary.
-func (l *levelQueue) flow(organisation string) *flow {
+func (l *laneQueue) flow(organisation string) *flow {
 	f, ok := l.flows[organisation]
 	if !ok {
 		f = &flow{organisation: organisation, virtualTime: l.clock}
@@ -317,7 +315,7 @@
 
 // dropIdle drops the idle flows whose virtual time the clock has passed, and all other idle ones too if more
 // than maxIdleFlows are left.
-func (l *levelQueue) dropIdle() {
+func (l *laneQueue) dropIdle() {
 	for name, f := range l.flows {
 		if len(f.items) == 0 && f.virtualTime <= l.clock {
 			delete(l.flows, name)
--- a/choice/fairqueue/precedence_test.go
+++ b/choice/fairqueue/precedence_test.go
@@ -97,3 +97,34 @@
 		t.Errorf("displaced for a request of the third level: %v, want none", got)
 	}
 }
+
+// TestCallsAreRankedByTheRequestsThatMakeThem checks that calls of urgent requests go before others of the same
+// organisation, whichever came first, and that the others still get a part while urgent ones keep coming.
+func TestCallsAreRankedByTheRequestsThatMakeThem(t *testing.T) {
+	q := fairqueue.New(fairqueue.WithPrecedence())
+	next := uint64(0)
+	push := func(r urgency.Rank) {
+		next++
+		q.Push(fairqueue.Item{ID: id.New("vm", 1, next), Rank: r, Cost: time.Second})
+	}
+	for range 3 {
+		push(urgency.Of(2, "a").OfCall())
+	}
+	push(urgency.Of(0, "a").OfCall())
+	if item, _ := q.Pop(start, urgency.Call); item.Rank.Inherited != urgency.First {
+		t.Errorf("the first call to run is one of the level %v", item.Rank.Inherited)
+	}
+	const turns = 1000
+	others := 0
+	for range turns {
+		push(urgency.Of(0, "a").OfCall())
+		push(urgency.Of(0, "b").OfCall())
+		if item, _ := q.Pop(start, urgency.Fourth); item.Rank.Inherited != urgency.First {
+			others++
+			push(urgency.Of(2, "a").OfCall())
+		}
+	}
+	if others < turns/100 || others > turns/20 {
+		t.Errorf("calls of the third level got %d of %d turns beside those of the first, want about one in 50", others, turns)
+	}
+}
--- a/guard/rank.go
+++ b/guard/rank.go
@@ -8,29 +8,23 @@
 )
 
 // RankOfCall returns the rank of a request that came without a key to the daemon on this VM, if the backend server on
-// this VM is likely to have made it while it ran another request. The call inherits the rank of the running request
-// whose deadline is the closest to its own, since a call expires at the deadline of the request that makes it; if
-// none is close, it keeps the organisation and the level of ofRoute, its route's rank. RankOfCall returns false if
-// nothing runs here.
-func (g *Guard) RankOfCall(deadline time.Time, ofRoute urgency.Rank) (urgency.Rank, bool) {
+// this VM has made it while it ran another request: a call expires at the deadline of the request that makes it. It
+// inherits the rank of the running request whose deadline is the closest to its own. RankOfCall returns false if none is
+// close: then the request is a newcomer like others.
+func (g *Guard) RankOfCall(deadline time.Time) (urgency.Rank, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var closest *attempt
-	running := false
 	for _, a := range g.attempts {
-		if !a.running {
-			continue
-		}
-		running = true
-		if a.deadline.Sub(deadline).Abs() <= deadlineTolerance && (closest == nil || a.closer(closest, deadline)) {
+		if a.running && a.deadline.Sub(deadline).Abs() <= deadlineTolerance && (closest == nil || a.closer(closest, deadline)) {
 			closest = a
 		}
 	}
-	if closest != nil {
-		e := closest.envelope
-		return e.Rank.Ranked(e.Class, e.Organisation).OfCall(), true
+	if closest == nil {
+		return urgency.Rank{}, false
 	}
-	return ofRoute.OfCall(), running
+	e := closest.envelope
+	return e.Rank.Ranked(e.Class, e.Organisation).OfCall(), true
 }
 
 // closer reports whether the deadline of a is closer to the given one than that of b, or as close and a is the more
--- a/hop/hop_test.go
+++ b/hop/hop_test.go
@@ -91,6 +91,7 @@
 		Incarnation: 1, Clock: 5, Revision: 4, ServiceTime: time.Millisecond,
 	}.Write(h)
 	f.Add(formatHeader(h))
+	f.Add(formatHeader(h) + "\nRoom:AAECAwQFBgcI")
 	f.Add("Attempt:vm-1/1/1/0\nEnding:maybe")
 	f.Add(strings.Replace(formatHeader(h), "Retry-After-Ms:1000", "Retry-After-Ms:9223372036855", 1))
 	f.Fuzz(func(t *testing.T, text string) {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -168,7 +168,7 @@
 	Ranked bool
 	// RankOfCall returns the rank of a request without a key, and true if a run on this VM's backend server makes
 	// it; see guard.Guard.RankOfCall. A nil RankOfCall counts as false.
-	RankOfCall func(deadline time.Time, ofRoute urgency.Rank) (urgency.Rank, bool)
+	RankOfCall func(deadline time.Time) (urgency.Rank, bool)
 	// Random returns a random number in [0, 1); rand.Float64 if nil.
 	Random func() float64
 }
--- a/ingress/rank.go
+++ b/ingress/rank.go
@@ -21,7 +21,7 @@
 	if x.info.HasKey || i.RankOfCall == nil {
 		return
 	}
-	if r, ok := i.RankOfCall(x.callerDeadline(), x.rank); ok {
+	if r, ok := i.RankOfCall(x.callerDeadline()); ok {
 		x.rank = r
 	}
 }
