--- a/caller/listener/unknown_test.go
+++ b/caller/listener/unknown_test.go
@@ -30,7 +30,7 @@
 			conn.Write(whole)
 			io.WriteString(conn, framing.end)
 		}()
-		if response, body := readResponse(t, bufio.NewReader(conn), "POST"); response.StatusCode != http.StatusOK || string(body) != fmt.Sprint(size) {
+		if response, body := readResponse(t, bufio.NewReader(conn), "POST"); response.StatusCode != http.StatusOK || body != fmt.Sprint(size) {
 			t.Errorf("%q: status %d, %q", framing.head, response.StatusCode, body)
 		}
 		conn.Close()
