spill: a heavy request that its region refuses doesn't try another unknown one

Read in the code: once all backend servers in use in a region had refused a request, it counted as one whose region has none, and left with any body within the bucket. Change: such a request leaves if it is light, unless other regions are known to be full; if it is heavy, only to a region known to have room. Else it is refused as not run. Tests: TestHeavyRequestsThatAllRefuseStay, TestLargeBodiesThatAllRefuseStay, the latter seen to fail without it.

--- a/choice/picker/region.go
+++ b/choice/picker/region.go
@@ -72,6 +72,7 @@
 	}
 	abroad := p.lessLoaded(now, there, req.Class)
 	q.There = abroad.penalizedLoad(now)
+	q.Exhausted = local == nil && p.refusedHere(req)
 	q.Forced = local == nil && req.HomeRegions != nil && p.region != "" && !p.isHome(req)
 	if !p.spill.Allow(now, req.Service, q) {
 		if local == nil {
@@ -88,6 +89,14 @@
 	return abroad, nil
 }
 
+// refusedHere reports whether the own region has backend servers in use that could run the request but are excluded, because
+// they have refused it.
+func (p *Picker) refusedHere(req Request) bool {
+	return p.isHome(req) && slices.ContainsFunc(p.groups[req.Service].active, func(s *server) bool {
+		return s.sameRegion && slices.Contains(req.Exclude, s.backend.ID)
+	})
+}
+
 // chooseAmong returns one of the servers, which must not be empty, without regard to regions.
 func (p *Picker) chooseAmong(now time.Time, servers []*server, req Request) *server {
 	switch {
--- a/choice/picker/region_test.go
+++ b/choice/picker/region_test.go
@@ -318,3 +318,18 @@
 		}
 	}
 }
+
+// TestLargeBodiesThatAllRefuseStay checks that a request with a large body, which all backend servers of its region have refused,
+// is refused rather than sent to a region of which nothing is known, and that one without a body is sent there.
+func TestLargeBodiesThatAllRefuseStay(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := newRegionPicker(now, 6, WithRegions(ratedSpill(1e7)))
+	now = now.Add(5 * time.Second)
+	tried := []backend.ID{"i-00", "i-01", "i-02", "i-03", "i-04", "i-05"}
+	if chosen, err := p.PickFor(now, Request{Service: "rounds", Exclude: tried, BodyBytes: 60_000}); !errors.Is(err, ErrNoBackend) {
+		t.Errorf("with a large body: got %q, %v; want %v", chosen, err, ErrNoBackend)
+	}
+	if chosen, err := p.PickFor(now, Request{Service: "rounds", Exclude: tried}); err != nil || p.servers[chosen].sameRegion {
+		t.Errorf("without a body: got %q, %v; want a backend server of the other region", chosen, err)
+	}
+}
--- a/choice/spill/spill.go
+++ b/choice/spill/spill.go
@@ -94,6 +94,8 @@
 	Here, There float64
 	// Tried reports whether a backend server in this region has refused it.
 	Tried bool
+	// Exhausted reports whether all backend servers in use in this region have refused it; Here doesn't count then.
+	Exhausted bool
 	// Forced reports whether the request must not run in this region.
 	Forced bool
 }
@@ -184,7 +186,13 @@
 	if q.Forced {
 		return true
 	}
-	if !math.IsInf(q.Here, 1) && !s.wanted(now, service, q) {
+	switch {
+	case q.Exhausted:
+		// A light request that nobody here takes may go where nothing is known; a heavy one costs too much to try.
+		if usable := s.usable(now, service); usable == 0 || q.heavy() && usable <= 1 {
+			return false
+		}
+	case !math.IsInf(q.Here, 1) && !s.wanted(now, service, q):
 		return false
 	}
 	s.refill(now)
--- a/choice/spill/spill_test.go
+++ b/choice/spill/spill_test.go
@@ -154,3 +154,21 @@
 		}
 	}
 }
+
+// TestHeavyRequestsThatAllRefuseStay checks that a request which all backend servers of its region have refused leaves if it is
+// light, unless other regions are known to be full, and if it is heavy only to one that is known to have room.
+func TestHeavyRequestsThatAllRefuseStay(t *testing.T) {
+	for _, c := range []struct {
+		abroad       float64
+		light, heavy bool
+	}{{1.2, false, false}, {-1, true, false}, {0.4, true, true}} {
+		s := New(1)
+		s.SetRate(start, 1e6)
+		now := feedBoth(s, start, 10*time.Second, 0.5, c.abroad)
+		l := s.Allow(now, "rounds", Request{Here: math.Inf(1), There: 0.5, Tried: true, Exhausted: true})
+		h := s.Allow(now, "rounds", Request{Here: math.Inf(1), There: 0.5, Tried: true, Exhausted: true, Bytes: HeavyBytes + 1})
+		if l != c.light || h != c.heavy {
+			t.Errorf("load abroad %.1f (negative if unknown): light leaves %v, heavy %v; want %v and %v", c.abroad, l, h, c.light, c.heavy)
+		}
+	}
+}
