config/revision: pass orders on as text

Cause: fields of orders in the proof's message would be described on each connection between daemons, also in fleets without orders. Change: one field of bytes, empty without orders. Ruled out: gob inside it, which describes the fields with each list.

--- a/config/revision/orders.go
+++ b/config/revision/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -91,3 +92,28 @@
 	l.orders, l.asOf, l.at = next, asOf, latest
 	l.onList(slices.Clone(next), l.at)
 }
+
+// addTo adds the list to a proof for other daemons.
+func (l *orderList) addTo(p *Proof, uptime time.Duration) {
+	if l == nil || l.asOf == 0 {
+		return
+	}
+	if len(l.orders) > 0 {
+		text, err := json.Marshal(l.orders)
+		if err != nil {
+			return
+		}
+		p.Orders = text
+	}
+	p.OrdersAsOf, p.OrdersAge = l.asOf, uptime-l.at
+}
+
+// takeProofOrders takes the list of orders over from a proof that was asked for at the uptime start. A list that can't
+// be decoded counts as none.
+func (f *Follower) takeProofOrders(p Proof, start time.Duration) {
+	var orders []order.Order
+	if len(p.Orders) > 0 && json.Unmarshal(p.Orders, &orders) != nil {
+		return
+	}
+	f.takeOrders(orders, p.OrdersAsOf, start-p.OrdersAge)
+}
--- a/config/revision/orders_test.go
+++ b/config/revision/orders_test.go
@@ -48,7 +48,17 @@
 	if len(lists) != before {
 		t.Error("an older or unknown list was taken")
 	}
-	if p := f.ownProof(); len(p.Orders) != 1 || p.OrdersAsOf != 12 || p.OrdersAge != 0 {
+	p := f.ownProof()
+	if p.OrdersAsOf != 12 || p.OrdersAge != 0 {
 		t.Errorf("passed on: %+v", p)
 	}
+	var taken [][]order.Order
+	other := New(store, soloFleet{}, soloFleet{}, store, WithProof(store, time.Second, clock.read),
+		WithOrders(source, func(orders []order.Order, _ time.Duration) { taken = append(taken, orders) }))
+	other.Close()
+	other.takeProofOrders(Proof{Orders: []byte("["), OrdersAsOf: 13}, clock.read())
+	other.takeProofOrders(p, clock.read())
+	if len(taken) != 1 || len(taken[0]) != 1 || taken[0][0] != lists[len(lists)-1][0] {
+		t.Errorf("taken over: %+v", taken)
+	}
 }
--- a/config/revision/proof.go
+++ b/config/revision/proof.go
@@ -266,7 +266,7 @@
 	f.proof.claimed = f.proof.claimed.later(observation{revision: reply.Revision, at: start - reply.Age, known: true})
 	f.mu.Unlock()
 	f.applyOutages(outageList{names: reply.Outages, asOf: reply.OutagesAsOf, at: start - reply.OutagesAge})
-	f.takeOrders(reply.Orders, reply.OrdersAsOf, start-reply.OrdersAge)
+	f.takeProofOrders(reply, start)
 }
 
 // ownProof returns the proof that this daemon gives to peers.
@@ -282,8 +282,6 @@
 		Known: known, Age: age, Revision: f.applied.Load().snapshot.Revision,
 		Outages: outages.names, OutagesAsOf: outages.asOf, OutagesAge: f.proof.uptime() - outages.at,
 	}
-	if l := f.proof.orders; l != nil {
-		p.Orders, p.OrdersAsOf, p.OrdersAge = l.orders, l.asOf, f.proof.uptime()-l.at
-	}
+	f.proof.orders.addTo(&p, f.proof.uptime())
 	return p
 }
--- a/config/revision/receiver.go
+++ b/config/revision/receiver.go
@@ -5,7 +5,6 @@
 
 	"berylpass/fleet/member"
 	"berylpass/mesh"
-	"berylpass/rollout/order"
 )
 
 // Names of the net/rpc service and its methods.
@@ -39,9 +38,10 @@
 	Outages     []string
 	OutagesAsOf uint64
 	OutagesAge  time.Duration
-	// Orders holds the roll-out orders, OrdersAsOf the store's version as of which the list holds
+	// Orders holds the roll-out orders as JSON, so that daemons without any exchange no description of
+	// their fields; empty for none. OrdersAsOf is the store's version as of which the list holds
 	// (0 if it is unknown), and OrdersAge the time since the list was read.
-	Orders     []order.Order
+	Orders     []byte
 	OrdersAsOf uint64
 	OrdersAge  time.Duration
 }
