--- a/config/revision/proof.go
+++ b/config/revision/proof.go
@@ -309,7 +309,7 @@
 		WithHeld(p.uptime(), reply.OutagesAsOf, reply.Held, start+reply.HeldFor)
 	f.putOutagesInForce()
 	f.mu.Unlock()
-	f.takeOrders(reply.Orders, reply.OrdersAsOf, start-reply.OrdersAge)
+	f.takeProofOrders(reply, start)
 }
 
 // ownProof returns the proof that this daemon gives to peers.
@@ -327,8 +327,6 @@
 		Outages: list.Names, OutagesAsOf: list.AsOf, OutagesAge: now - list.At,
 		Held: held, HeldFor: max(0, until-now),
 	}
-	if l := f.proof.orders; l != nil {
-		p.Orders, p.OrdersAsOf, p.OrdersAge = l.orders, l.asOf, f.proof.uptime()-l.at
-	}
+	f.proof.orders.addTo(&p, f.proof.uptime())
 	return p
 }
