--- a/choice/gate/gate.go
+++ b/choice/gate/gate.go
@@ -5,6 +5,11 @@
 // cannot finish before it expires is shed early, as not run; so is a prompt request that would have to wait.
 // Each Arrive is followed by exactly one Run, Shed or Withdrawn.
 //
+// With WithPrecedence, requests go by their urgency: calls of running requests before others, then level by level. This
+// answers seconds with less room than requests, and runs that hold a slot while their calls wait: slots are kept for
+// calls, a full queue makes room for a more urgent request, and what will not be answered any more because of these is
+// shed while its caller still has time. Room tells ingresses how much room each level has.
+//
 // # Usage
 //
 //	g := gate.New()
