crowd: each daemon has an address of its own

Cause: one run of six failed at a start: connection refused, 0.05 s after it. The ports had been chosen as free and given back, and connections of the test before may take them. Not traced to the log, which was lost; a failure at the start now shows it. Change: fixed ports on an address of 127.90.0.0/16 for each daemon. Crowds and bounds are as they were.

--- a/crowd/daemon_test.go
+++ b/crowd/daemon_test.go
@@ -64,12 +64,22 @@
 	process *exec.Cmd
 	ended   atomic.Bool
 	log     string
-	ports   [6]int
+	// ip is an address of its own, so that no port is taken by connections that other tests have opened.
+	ip string
 	// peakDescriptors is the largest number of open descriptors that was seen.
 	peakDescriptors atomic.Int64
 }
 
-func (d *daemon) address(n int) string { return "127.0.0.1:" + strconv.Itoa(d.ports[n]) }
+// firstPort is the lowest port of a daemon.
+const firstPort = 7001
+
+var lastDaemon atomic.Int64
+
+func newIP() string {
+	return fmt.Sprintf("127.90.%d.%d", os.Getpid()%250+1, lastDaemon.Add(1))
+}
+
+func (d *daemon) address(n int) string { return d.ip + ":" + strconv.Itoa(firstPort+n) }
 
 // callers returns the address for callers.
 func (d *daemon) callers() string { return d.address(0) }
@@ -117,10 +127,7 @@
 // startDaemon starts a daemon that may open the given number of descriptors.
 func startDaemon(t *testing.T, store, id string, descriptors int) *daemon {
 	t.Helper()
-	d := &daemon{t: t}
-	for n := range d.ports {
-		d.ports[n] = freePort(t)
-	}
+	d := &daemon{t: t, ip: newIP()}
 	dir := t.TempDir()
 	file := filepath.Join(dir, "daemon.ini")
 	if err := os.WriteFile(file, []byte(d.settings(store, id, descriptors)), 0o600); err != nil {
@@ -130,15 +137,6 @@
 	return d
 }
 
-func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 func (d *daemon) settings(store, id string, descriptors int) string {
 	return fmt.Sprintf(`[daemon]
 id = %s
@@ -285,15 +283,20 @@
 		}
 		last = fmt.Sprint(response.Status, " ", string(text), err)
 	}
-	d.t.Errorf("an ordinary %s %s isn't answered: %s", method, path, last)
+	d.t.Errorf("an ordinary %s %s isn't answered: %s; ended %t: %s", method, path, last, d.ended.Load(), d.logTail())
+}
+
+// logTail returns the last lines of the daemon's log.
+func (d *daemon) logTail() string {
+	text, _ := os.ReadFile(d.log)
+	return string(text[max(0, len(text)-2000):])
 }
 
 // check checks that the process lives and has stayed within its memory and descriptors.
 func (d *daemon) check(descriptors int) {
 	d.t.Helper()
 	if d.ended.Load() {
-		text, _ := os.ReadFile(d.log)
-		d.t.Fatalf("the daemon has ended: %s", text[max(0, len(text)-2000):])
+		d.t.Fatalf("the daemon has ended: %s", d.logTail())
 	}
 	peak := d.status("VmHWM")
 	d.t.Logf("peak memory %d MiB of %d, at the end %d; peak descriptors %d of %d",
