--- a/config/revision/follower.go
+++ b/config/revision/follower.go
@@ -326,6 +326,8 @@
 func (f *Follower) apply(a spread.Apply) {
 	f.previous = f.applied.Load()
 	f.applied.Store(f.pulled[a.Number])
+	// Whoever is told of the change must find the follower ready.
+	f.caughtUp.Store(f.spread.CaughtUp())
 	f.fleet.SetRevision(a.Revision)
 	f.updateEffective()
 }
