rollout: late reports count once, stored outcomes stand, the only version serves

Cause: a report that came after a later one counted its answers again; an outcome was forgotten if the store showed an earlier state; a service whose backend servers were all replaced while the store was away stopped; of two lists of orders with the same time the earlier could be applied last. Change: reports say when the count began and late ones are ignored; a final state that was read is kept; a version that serves alone is used while the store is away; only the latest list is applied. Ruled out: nothing yet for a conductor that writes an outcome again into a store that lost it, and for an order that is written again after its roll-back: open.

--- a/rollout/conductor/conductor.go
+++ b/rollout/conductor/conductor.go
@@ -331,16 +331,20 @@
 type heard struct {
 	at          time.Time
 	incarnation uint64
+	since       int64
 	sent        uint32
 }
 
 // hear records a report. What a backend server's first one counts is not new.
 func (s *state) hear(now time.Time, r evidence.Report) {
 	last, known := s.heard[r.Server]
-	if known && last.incarnation == r.Incarnation && r.Sent > last.sent {
-		s.arrived += int(r.Sent - last.sent)
+	next := heard{at: now, incarnation: r.Incarnation, since: r.Since, sent: r.Sent}
+	if known && last.incarnation == r.Incarnation && last.since == r.Since {
+		// A report that comes after a later one counts nothing.
+		next.sent = max(r.Sent, last.sent)
+		s.arrived += int(next.sent - last.sent)
 	}
-	s.heard[r.Server] = heard{at: now, incarnation: r.Incarnation, sent: r.Sent}
+	s.heard[r.Server] = next
 }
 
 // age returns the time since the order.
--- a/rollout/evidence/evidence.go
+++ b/rollout/evidence/evidence.go
@@ -16,6 +16,7 @@
 package evidence
 
 import (
+	"cmp"
 	"math"
 	"math/bits"
 	"time"
@@ -36,6 +37,9 @@
 type Report struct {
 	Server      backend.ID
 	Incarnation uint64
+	// Since is when the guard began to count, on a clock of its VM that only goes forward: a later count replaces an
+	// earlier one, and of one count the report with the most requests is the latest.
+	Since int64
 	// Sent is the number of requests sent to the backend server.
 	Sent  uint32
 	Cells []Cell
@@ -121,6 +125,7 @@
 type server struct {
 	version     Version
 	incarnation uint64
+	since       int64
 	sent        uint32
 	cells       map[Cell]uint32
 	firstReport time.Time
@@ -153,11 +158,14 @@
 	return &Evidence{servers: map[backend.ID]*server{}, routes: map[string]*route{}, failing: newSuspicion(), slow: newSuspicion()}
 }
 
-// Add adds the report of a backend server.
+// Add adds the report of a backend server. It ignores a report that comes after a later one.
 func (e *Evidence) Add(now time.Time, r Report, v Version) {
 	s := e.servers[r.Server]
-	if s == nil || s.incarnation != r.Incarnation || s.sent > r.Sent {
-		s = &server{version: v, incarnation: r.Incarnation, cells: map[Cell]uint32{}, firstReport: now}
+	if s != nil && r.before(s) {
+		return
+	}
+	if s == nil || s.incarnation != r.Incarnation || s.since != r.Since {
+		s = &server{version: v, incarnation: r.Incarnation, since: r.Since, cells: map[Cell]uint32{}, firstReport: now}
 		e.servers[r.Server] = s
 	}
 	s.sent, s.running = r.Sent, r.Running
@@ -167,10 +175,10 @@
 		}
 		key := Cell{Route: c.Route, Failed: c.Failed, Bucket: c.Bucket}
 		added := int64(c.Count) - int64(s.cells[key])
-		s.cells[key] = c.Count
 		if added <= 0 {
 			continue
 		}
+		s.cells[key] = c.Count
 		if v == OldVersion {
 			e.route(c.Route).addOld(now, key, float64(added))
 		} else {
@@ -179,6 +187,11 @@
 	}
 }
 
+// before reports whether r was made before the last report of s.
+func (r Report) before(s *server) bool {
+	return cmp.Or(cmp.Compare(r.Incarnation, s.incarnation), cmp.Compare(r.Since, s.since), cmp.Compare(r.Sent, s.sent)) < 0
+}
+
 func (e *Evidence) route(name string) *route {
 	if e.routes[name] == nil {
 		e.routes[name] = &route{failing: newSuspicion(), slow: newSuspicion()}
--- a/rollout/evidence/evidence_test.go
+++ b/rollout/evidence/evidence_test.go
@@ -82,12 +82,18 @@
 		{Server: "a", Incarnation: 1, Sent: 10, Cells: cells(14, 9, 1)},
 		{Server: "a", Incarnation: 1, Sent: 10, Cells: cells(14, 9, 1)},
 		{Server: "a", Incarnation: 2, Sent: 4, Cells: cells(14, 4, 0)},
+		// The daemon has restarted; then reports of before come late.
+		{Server: "a", Incarnation: 2, Since: 7, Sent: 3, Cells: cells(14, 3, 0)},
+		{Server: "a", Incarnation: 1, Sent: 9, Cells: cells(14, 8, 1)},
+		{Server: "a", Incarnation: 2, Sent: 4, Cells: cells(14, 4, 0)},
+		{Server: "a", Incarnation: 2, Since: 7, Sent: 2, Cells: cells(14, 2, 0)},
+		{Server: "a", Incarnation: 2, Since: 7, Sent: 3, Cells: cells(14, 3, 0)},
 		{Server: "b", Incarnation: 2, Sent: 4, Cells: []Cell{{Route: "status", Bucket: 200, Count: 4}}},
 	} {
 		e.Add(now, r, OldVersion)
 	}
-	if ofOld, ofNew := e.Answers(); ofOld != 14 || ofNew != 0 {
-		t.Errorf("%d and %d answers, want 14 and 0", ofOld, ofNew)
+	if ofOld, ofNew := e.Answers(); ofOld != 17 || ofNew != 0 {
+		t.Errorf("%d and %d answers, want 17 and 0", ofOld, ofNew)
 	}
 }
 
--- a/rollout/exposure/exposure.go
+++ b/rollout/exposure/exposure.go
@@ -295,6 +295,10 @@
 		if known && old.Key() == next.Key() && next.State == order.Completed && old.State != order.Completed {
 			e.retireOthers(next)
 		}
+		if next.State.Final() {
+			// The outcome stands, whatever the store shows later.
+			e.told[next.Key()] = next.State
+		}
 		if s := e.versions[version{service, next.Target}]; s != nil {
 			s.withdrawn, s.retired = false, false
 		}
@@ -325,7 +329,8 @@
 
 // clear marks the versions that no order can restrict without this daemon's knowledge. A daemon that has just started
 // also takes the version that most backend servers of a service have and, while the store is away, all that it finds:
-// it would otherwise serve nothing until the next list is read.
+// it would otherwise serve nothing until the next list is read. While the store is away, the only version that serves is
+// used too.
 func (e *Exposure) clear(now time.Time, changed map[string]bool) {
 	if !e.listed {
 		return
@@ -336,13 +341,24 @@
 			continue
 		}
 		early := s.firstSeen.Sub(e.started) <= settleTime
-		if s.firstSeen.Before(e.listAt) || early && (storeAway || e.inMajority(key)) {
+		alone := e.serves(key) && !e.hasOther(key.service, key.name)
+		if s.firstSeen.Before(e.listAt) || early && (storeAway || e.inMajority(key)) || storeAway && alone {
 			s.cleared = true
 			changed[key.service] = true
 		}
 	}
 }
 
+// serves reports whether a backend server of the version serves.
+func (e *Exposure) serves(v version) bool {
+	for _, s := range e.servers {
+		if s.Service == v.service && s.Version == v.name {
+			return true
+		}
+	}
+	return false
+}
+
 // inMajority reports whether most backend servers of a service have the version.
 func (e *Exposure) inMajority(v version) bool {
 	have, all := 0, 0
--- a/rollout/exposure/exposure_test.go
+++ b/rollout/exposure/exposure_test.go
@@ -137,3 +137,30 @@
 	f.list(changed)
 	f.wants("v2", OnTrial)
 }
+
+// TestOnlyVersionIsUsedWhileTheStoreIsAway checks that a service without an order doesn't stop if all its backend servers
+// are replaced meanwhile.
+func TestOnlyVersionIsUsedWhileTheStoreIsAway(t *testing.T) {
+	f := newFixture(t)
+	f.list()
+	f.now = f.now.Add(time.Minute)
+	f.server("c1", "v3", true)
+	f.Update(f.now, Tick{})
+	f.wants("v3", Withheld)
+	f.server("a1", "v1", false)
+	f.server("a2", "v1", false)
+	f.Update(f.now, Tick{})
+	f.wants("v3", Usual)
+}
+
+// TestOutcomeOutlastsTheStore checks that a stored outcome stands if the store shows an earlier state later.
+func TestOutcomeOutlastsTheStore(t *testing.T) {
+	f := newFixture(t)
+	f.server("b1", "v2", true)
+	f.list(toV2(order.RolledBack))
+	f.list(toV2(order.Running))
+	f.wants("v2", Withheld)
+	if told := f.Told(toV2(order.Running).Key()); told != order.RolledBack {
+		t.Errorf("told %s", told)
+	}
+}
--- a/rollout/participant/participant.go
+++ b/rollout/participant/participant.go
@@ -110,6 +110,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
+	// lists is the number of lists of orders that were passed on.
+	lists atomic.Uint64
 	// active is true while there is an order without an outcome.
 	active atomic.Bool
 
@@ -192,10 +194,17 @@
 	p.notify(actions)
 }
 
-// ListRead passes on a list of orders whose read began at an uptime. It doesn't wait for it to be applied.
+// ListRead passes on a list of orders whose read began at an uptime. It doesn't wait for it to be applied. Lists must be
+// passed on one after the other, the latest last.
 func (p *Participant) ListRead(orders []order.Order, readAt time.Duration) {
+	number := p.lists.Add(1)
 	p.start(func() {
 		p.mu.Lock()
+		if number < p.lists.Load() {
+			// A later list is on its way.
+			p.mu.Unlock()
+			return
+		}
 		actions := p.exposure.Update(p.now(), exposure.ListRead{Orders: orders, At: at(readAt)})
 		p.ordersChanged()
 		p.mu.Unlock()
--- a/rollout/tally/tally.go
+++ b/rollout/tally/tally.go
@@ -38,6 +38,7 @@
 // server is the count of one backend server.
 type server struct {
 	backend backend.Backend
+	since   time.Time
 	sent    uint32
 	cells   map[evidence.Cell]uint32
 }
@@ -72,7 +73,7 @@
 	}
 	s := t.servers[b.ID]
 	if s == nil || s.backend.Incarnation != b.Incarnation {
-		s = &server{cells: map[evidence.Cell]uint32{}}
+		s = &server{since: now, cells: map[evidence.Cell]uint32{}}
 		t.servers[b.ID] = s
 	}
 	s.backend = b
@@ -100,7 +101,7 @@
 	for _, b := range backends {
 		r := Report{Service: b.Service, Version: b.Version, Report: evidence.Report{Server: b.ID, Incarnation: b.Incarnation}}
 		if s := t.servers[b.ID]; s != nil && s.backend.Incarnation == b.Incarnation {
-			r.Sent, r.Cells, r.Running = s.sent, sorted(s.cells), sorted(t.runningAt(now, b.ID))
+			r.Since, r.Sent, r.Cells, r.Running = s.since.UnixNano(), s.sent, sorted(s.cells), sorted(t.runningAt(now, b.ID))
 		}
 		reports = append(reports, r)
 	}
