choice/spill: fewer tries where nothing is known

A light request that its whole region had refused left in any case unless the other region was known to be full. Change: three in ten of them leave while nothing is known.

--- a/choice/spill/spill.go
+++ b/choice/spill/spill.go
@@ -72,6 +72,9 @@
 	abroadTime = 3 * time.Second
 	// explorationFraction is the fraction of the requests that leave at most while nothing is known of other regions.
 	explorationFraction = 0.05
+	// lastResortFraction is the same for light requests that all backend servers of the own region have refused: a try
+	// that fails costs about as much as it gains if one in four succeeds.
+	lastResortFraction = 0.3
 	// HeavyBytes is the size of a body from which a request is heavy.
 	HeavyBytes = 8 << 10
 	// burstTime is the time for which unused bytes are saved.
@@ -188,8 +191,7 @@
 	}
 	switch {
 	case q.Exhausted:
-		// A light request that nobody here takes may go where nothing is known; a heavy one costs too much to try.
-		if usable := s.usable(now, service); usable == 0 || q.heavy() && usable <= 1 {
+		if !s.lastResort(now, service, q) {
 			return false
 		}
 	case !math.IsInf(q.Here, 1) && !s.wanted(now, service, q):
@@ -203,6 +205,19 @@
 	return true
 }
 
+// lastResort reports whether a request that nobody in this region takes leaves. A light one is tried more often than others
+// where nothing is known, and a heavy one, which costs too much, only where there is room.
+func (s *Spill) lastResort(now time.Time, service string, q Request) bool {
+	share := s.usable(now, service)
+	switch {
+	case share > 1:
+		return true
+	case share == 0 || q.heavy():
+		return false
+	}
+	return s.random.Float64() < lastResortFraction
+}
+
 // wanted reports whether the region lacks room and the request is among those that leave.
 func (s *Spill) wanted(now time.Time, service string, q Request) bool {
 	r := s.room(service)
