rollout/exposure: an order that is written again keeps its outcome

Change: an order of a later era takes over the outcome of the same order in an earlier one; in the same era it is a new order.

--- a/rollout/exposure/exposure.go
+++ b/rollout/exposure/exposure.go
@@ -30,6 +30,7 @@
 	"berylpass/decision"
 	"berylpass/fleet/backend"
 	"berylpass/rollout/order"
+	"berylpass/store/object"
 )
 
 const (
@@ -113,6 +114,8 @@
 	grants   map[order.Key]grant
 	// told holds the outcomes that a conductor has decided and that need not be stored yet.
 	told map[order.Key]order.State
+	// outcomes holds the latest outcome of each order that is gone, by its key without the revision of its creation.
+	outcomes map[order.Key]outcome
 }
 
 var _ decision.System = (*Exposure)(nil)
@@ -121,7 +124,7 @@
 func New(now time.Time) *Exposure {
 	return &Exposure{
 		started: now, servers: map[backend.ID]ServerChanged{}, versions: map[version]*versionState{},
-		orders: map[string]order.Order{}, grants: map[order.Key]grant{}, told: map[order.Key]order.State{},
+		orders: map[string]order.Order{}, grants: map[order.Key]grant{}, told: map[order.Key]order.State{}, outcomes: map[order.Key]outcome{},
 	}
 }
 
@@ -288,6 +291,7 @@
 		}
 	}
 	for service, next := range e.orders {
+		e.adoptOutcome(next)
 		old, known := before[service]
 		if !known || old.Key() != next.Key() || old.State != next.State {
 			changed[service] = true
@@ -313,11 +317,35 @@
 	if s := e.versions[version{o.Service, o.Target}]; s != nil && e.state(o) != order.Completed {
 		s.withdrawn = true
 	}
+	if state := e.state(o); state.Final() {
+		e.outcomes[rewritable(o)] = outcome{state: state, era: object.EraOf(o.Revision)}
+	}
 	delete(e.grants, o.Key())
 	delete(e.told, o.Key())
 	changed[o.Service] = true
 }
 
+// outcome is the outcome of an order that is gone, and the era of the store that it was read in.
+type outcome struct {
+	state order.State
+	era   uint64
+}
+
+// rewritable returns what stays the same of an order that its operators write again because the store has lost it.
+func rewritable(o order.Order) order.Key {
+	key := o.Key()
+	key.Created = 0
+	return key
+}
+
+// adoptOutcome gives an order of a later era the outcome that the same order had in an earlier one. In the same era
+// it is a new order, which the operators have given after they withdrew the first.
+func (e *Exposure) adoptOutcome(o order.Order) {
+	if before, ok := e.outcomes[rewritable(o)]; ok && object.EraOf(o.Revision) > before.era && !o.State.Final() {
+		e.told[o.Key()] = before.state
+	}
+}
+
 // retireOthers retires the versions that a completed order has replaced. A version that comes later is none of them.
 func (e *Exposure) retireOthers(o order.Order) {
 	for key, s := range e.versions {
