choice/admission: a level of which nothing arrives holds no other back

Change: a level that nobody has asked for within the age of reports opens. Ruled out: to step all levels by the guards' reports at each arrival: the state shown to operators then names levels that nobody uses (ingress door test).

--- a/choice/admission/admission.go
+++ b/choice/admission/admission.go
@@ -90,6 +90,8 @@
 	// closed reports whether operators were told that the level is closed.
 	closed bool
 	asked  demand
+	// askedAt is when a request of the level last arrived.
+	askedAt time.Time
 }
 
 // heard is the last room of a backend server.
@@ -139,8 +141,8 @@
 	Level   urgency.Level
 }
 
-// Update applies one event of this package and returns the resulting actions: for an Arrived at most one Closed or
-// Opened, and then one Refused.
+// Update applies one event of this package and returns the resulting actions: for an Arrived a Closed or
+// Opened for each level that has changed, and then at most one Refused.
 func (a *Admission) Update(now time.Time, event decision.Event) []decision.Action {
 	switch e := event.(type) {
 	case RoomHeard:
@@ -190,22 +192,38 @@
 	}
 	l := &s.levels[e.Level]
 	l.asked.add(now, e.Organisation)
-	refused, known := s.refused(now, e.Level)
-	if now.Sub(l.steppedAt) >= stepInterval {
-		l.steppedAt = now
-		l.step(refused)
-	}
-	actions := l.changes(e)
-	share := s.share(e.Level)
-	if !known {
+	l.askedAt = now
+	actions := s.stepDue(now, e)
+	if _, known := s.refused(now, e.Level); !known {
 		return actions
 	}
-	if e.Random < l.asked.part(e.Organisation, share) {
+	if e.Random < l.asked.part(e.Organisation, s.share(e.Level)) {
 		return actions
 	}
 	return append(actions, Refused{RetryAfter: RetryAfter(s.wait(now, e.Level), e.Left, e.Spread)})
 }
 
+// stepDue steps the level of a request, and opens those of which nothing has arrived for maxAge: they would hold back the
+// less urgent ones for good.
+func (s *service) stepDue(now time.Time, e Arrived) []decision.Action {
+	var actions []decision.Action
+	for n := urgency.First; n < urgency.Count; n++ {
+		l := &s.levels[n]
+		silent := now.Sub(l.askedAt) > maxAge
+		if n != e.Level && !silent || now.Sub(l.steppedAt) < stepInterval {
+			continue
+		}
+		l.steppedAt = now
+		refused := 0.0
+		if !silent {
+			refused, _ = s.refused(now, n)
+		}
+		l.step(refused)
+		actions = append(actions, l.changes(e.Service, n)...)
+	}
+	return actions
+}
+
 // step changes the share that is admitted by the share that the guards refuse.
 func (l *level) step(refused float64) {
 	share := 1 - l.cut
@@ -219,14 +237,14 @@
 }
 
 // changes returns the action that tells that the level has closed or opened.
-func (l *level) changes(e Arrived) []decision.Action {
+func (l *level) changes(name string, n urgency.Level) []decision.Action {
 	switch {
 	case !l.closed && 1-l.cut < closedBelow:
 		l.closed = true
-		return []decision.Action{Closed{Service: e.Service, Level: e.Level}}
+		return []decision.Action{Closed{Service: name, Level: n}}
 	case l.closed && 1-l.cut > openedAbove:
 		l.closed = false
-		return []decision.Action{Opened{Service: e.Service, Level: e.Level}}
+		return []decision.Action{Opened{Service: name, Level: n}}
 	}
 	return nil
 }
