caller/memory, answer: growing bodies take only their growth; waits in a circle end

Change: only the growth is reserved; a refused upload gives back what it had; the reservation that came last is refused if all holders wait and nothing has moved for the grace.

--- a/answer/growth.go
+++ b/answer/growth.go
@@ -53,7 +53,8 @@
 		return nil
 	}
 	grown := max(2*int64(cap(g.bytes)), need, firstGrowth)
-	if err := g.reserve(grown); err != nil {
+	// The earlier buffer is free once it is copied, so its memory serves for the larger one.
+	if err := g.reserve(grown - int64(cap(g.bytes))); err != nil {
 		return err
 	}
 	g.bytes = append(make([]byte, 0, grown), g.bytes...)
--- a/caller/listener/bodies.go
+++ b/caller/listener/bodies.go
@@ -134,7 +134,8 @@
 	c.holder.Due(int64(len(piece)))
 	if need := len(c.body) + len(piece); need > cap(c.body) {
 		grown := max(2*cap(c.body), need, firstBodyBytes)
-		if err := c.reserve(int64(grown)); err != nil {
+		// The earlier buffer is free once it is copied, so its memory serves for the larger one.
+		if err := c.reserve(int64(grown - cap(c.body))); err != nil {
 			return err
 		}
 		c.body = append(make([]byte, 0, grown), c.body...)
--- a/caller/listener/conn.go
+++ b/caller/listener/conn.go
@@ -314,6 +314,12 @@
 	c.framer, c.body = framing.Framer{}, nil
 	c.holder.Release(memory.Heads, c.reserved.head)
 	c.reserved.head = 0
+	c.mu.Lock()
+	for _, n := range c.reserved.receiving {
+		c.holder.Release(memory.Exchanges, n)
+	}
+	c.reserved.receiving = nil
+	c.mu.Unlock()
 	status, reason := statusOf(err)
 	c.Execute(func() {
 		if c.awaitSent() != nil {
--- a/caller/memory/budget.go
+++ b/caller/memory/budget.go
@@ -147,6 +147,8 @@
 	leaving, leavingLong int64
 	accounts             map[uint64]*account
 	waiting              []Reserve
+	// movedAt is when bytes were last reserved or released.
+	movedAt time.Time
 }
 
 // New returns a budget with nothing reserved.
@@ -166,6 +168,7 @@
 	case Reserve:
 		return b.reserve(now, e)
 	case Release:
+		b.movedAt = now
 		b.release(e)
 		return b.retry(now, false)
 	case Due:
@@ -182,13 +185,34 @@
 		b.waiting = slices.DeleteFunc(b.waiting, func(r Reserve) bool { return r.Ticket == e.Ticket })
 		return b.retry(now, false)
 	case Left:
+		b.movedAt = now
 		return append(b.remove(e.Holder), b.retry(now, false)...)
 	case Tick:
-		return b.retry(now, true)
+		return append(b.retry(now, true), b.breakCircle(now)...)
 	}
 	return nil
 }
 
+// breakCircle refuses the reservation that came last if all holders that have bytes of the exchanges wait for more, and
+// nothing has moved for Grace: they wait for each other.
+func (b *Budget) breakCircle(now time.Time) []decision.Action {
+	if len(b.waiting) == 0 || now.Sub(b.movedAt) < Grace {
+		return nil
+	}
+	waits := map[uint64]bool{}
+	for _, r := range b.waiting {
+		waits[r.Holder] = true
+	}
+	for id, a := range b.accounts {
+		if a.held[Exchanges] > 0 && !waits[id] {
+			return nil
+		}
+	}
+	last := b.waiting[len(b.waiting)-1]
+	b.waiting = b.waiting[:len(b.waiting)-1]
+	return []decision.Action{Refused{Ticket: last.Ticket}}
+}
+
 func (b *Budget) addDue(now time.Time, e Due) {
 	a := b.account(e.Holder)
 	if a.due == 0 {
@@ -221,7 +245,8 @@
 	return r.Bytes <= b.limits[r.Part]
 }
 
-func (b *Budget) grant(r Reserve) decision.Action {
+func (b *Budget) grant(now time.Time, r Reserve) decision.Action {
+	b.movedAt = now
 	a := b.account(r.Holder)
 	b.used[r.Part] += r.Bytes
 	a.held[r.Part] += r.Bytes
@@ -238,12 +263,12 @@
 		return []decision.Action{Refused{Ticket: r.Ticket}}
 	}
 	if b.fits(r) && !b.queued(r) {
-		return []decision.Action{b.grant(r)}
+		return []decision.Action{b.grant(now, r)}
 	}
 	if !r.MayWait {
 		closed := b.makeRoom(now, r)
 		if b.fits(r) {
-			return append(closed, b.grant(r))
+			return append(closed, b.grant(now, r))
 		}
 		return append(closed, Refused{Ticket: r.Ticket})
 	}
@@ -389,7 +414,7 @@
 			break
 		}
 		b.waiting = slices.DeleteFunc(b.waiting, func(w Reserve) bool { return w.Ticket == r.Ticket })
-		actions = append(actions, b.grant(r))
+		actions = append(actions, b.grant(now, r))
 	}
 	return actions
 }
--- a/caller/memory/holder/request.go
+++ b/caller/memory/holder/request.go
@@ -107,7 +107,8 @@
 			continue
 		}
 		grown := min(2*int64(cap(body)), limit+1)
-		if err := Reserve(ctx, grown); err != nil {
+		// The earlier buffer is free once it is copied, so its memory serves for the larger one.
+		if err := Reserve(ctx, grown-int64(cap(body))); err != nil {
 			return nil, err
 		}
 		body = append(make([]byte, 0, grown), body...)
