config/outage: the hold of a data centre doesn't end while the store is away

Cause: after a new era, a data centre that the list no longer names was held out of service for 10 s by the clock. If the store was away again meanwhile, the hold ended without a list that said so, and the next era began without it.

Change: a list that is read from the end of the hold on ends it, not time.

--- a/config/outage/outage.go
+++ b/config/outage/outage.go
@@ -4,15 +4,16 @@
 // A later list replaces an earlier one. After the store has gone on from an older copy (a new
 // era, see object.VersionIn), a data centre that is missing from the list may be missing only
 // because the store has lost the operators' entry. They write it again, but not at once. So it
-// is held out of service for HoldTime, unless a list of the new era names it before: from then
-// on the lists alone count. To leave a data centre in service too late costs capacity for some
+// is held out of service until a list that is read HoldTime later doesn't name it either, or a
+// list of the new era names it: from then on the lists alone count. Time alone doesn't end the
+// hold, since the store may be away again. To leave a data centre in service too late costs capacity for some
 // seconds; to put it back too early breaks a promise to the operators.
 //
 // # Usage
 //
 //	o := outage.Outages{}.With(now, outage.List{Names: names, AsOf: version, At: start})
 //	if o.Known() {
-//		out := o.Names(now)
+//		out := o.Names()
 //	}
 //
 // Times are readings of a monotonic clock. An Outages is immutable; the zero value knows of no
@@ -42,8 +43,8 @@
 // Outages is what is known of the data centres out of service.
 type Outages struct {
 	list List
-	// held are the data centres that count as out of service until heldUntil although the list
-	// doesn't name them.
+	// held are the data centres that count as out of service although the list doesn't name them.
+	// A list that is read from heldUntil on ends that.
 	held      []string
 	heldUntil time.Duration
 }
@@ -54,9 +55,12 @@
 	if l.AsOf < o.list.AsOf || l.AsOf == o.list.AsOf && l.At <= o.list.At {
 		return o
 	}
-	held, until := o.Held(now)
+	held, until := o.held, o.heldUntil
+	if l.At >= until {
+		held = nil
+	}
 	if o.Known() && object.EraOf(l.AsOf) > object.EraOf(o.list.AsOf) {
-		held, until = o.Names(now), now+HoldTime
+		held, until = o.Names(), now+HoldTime
 	}
 	o.list = l
 	o.held, o.heldUntil = without(held, l.Names), until
@@ -69,10 +73,9 @@
 	if now >= until || object.EraOf(asOf) != object.EraOf(o.list.AsOf) {
 		return o
 	}
-	held, ownUntil := o.Held(now)
-	added := without(without(names, o.list.Names), held)
+	added := without(without(names, o.list.Names), o.held)
 	if len(added) > 0 {
-		o.held, o.heldUntil = slices.Concat(held, added), max(ownUntil, until)
+		o.held, o.heldUntil = slices.Concat(o.held, added), max(o.heldUntil, until)
 	}
 	return o
 }
@@ -85,18 +88,13 @@
 func (o Outages) List() List { return o.list }
 
 // Names returns the sorted names of the data centres that are out of service.
-func (o Outages) Names(now time.Duration) []string {
-	held, _ := o.Held(now)
-	return slices.Sorted(slices.Values(slices.Concat(o.list.Names, held)))
+func (o Outages) Names() []string {
+	return slices.Sorted(slices.Values(slices.Concat(o.list.Names, o.held)))
 }
 
-// Held returns the data centres that are held, and until when.
-func (o Outages) Held(now time.Duration) (names []string, until time.Duration) {
-	if now >= o.heldUntil {
-		return nil, 0
-	}
-	return o.held, o.heldUntil
-}
+// Held returns the data centres that are held: until a list that is read at the given time or
+// later doesn't name them either.
+func (o Outages) Held() (names []string, until time.Duration) { return o.held, o.heldUntil }
 
 // without returns the names that aren't in excluded.
 func without(names, excluded []string) []string {
--- a/config/revision/follower.go
+++ b/config/revision/follower.go
@@ -327,7 +327,7 @@
 func (f *Follower) updateEffective() {
 	s := f.applied.Load().snapshot
 	if f.proof != nil {
-		f.proof.outOfService = f.proof.outages.Names(f.proof.uptime())
+		f.proof.outOfService = f.proof.outages.Names()
 		s = s.WithOutOfService(f.proof.outOfService)
 	}
 	f.effective.Store(&s)
--- a/config/revision/proof.go
+++ b/config/revision/proof.go
@@ -257,7 +257,7 @@
 
 // putOutagesInForce puts the outages in force if they have changed. The caller holds mu.
 func (f *Follower) putOutagesInForce() {
-	if names := f.proof.outages.Names(f.proof.uptime()); !slices.Equal(names, f.proof.outOfService) {
+	if names := f.proof.outages.Names(); !slices.Equal(names, f.proof.outOfService) {
 		f.updateEffective()
 	}
 }
@@ -297,7 +297,7 @@
 	defer f.mu.Unlock()
 	age, known := f.proofAge()
 	now, list, own := f.proof.uptime(), f.proof.outages.List(), f.noticeLocked()
-	held, until := f.proof.outages.Held(now)
+	held, until := f.proof.outages.Held()
 	return Proof{
 		Known: known && !f.isSuperseded(), Age: age, Revision: own.Revision, Number: own.Number, Era: own.Era, Settling: own.Settling,
 		Outages: list.Names, OutagesAsOf: list.AsOf, OutagesAge: now - list.At,
