--- a/daemon/memory_test.go
+++ b/daemon/memory_test.go
@@ -43,15 +43,17 @@
 // TestTimeoutsOfTheConfigurationAreInForce checks that an unfinished head and an idle connection are closed after the
 // operators' timeouts, and that a connection with a request isn't.
 func TestTimeoutsOfTheConfigurationAreInForce(t *testing.T) {
-	release := make(chan struct{})
-	l, err := listener.New("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	l, err := listener.New("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		started <- struct{}{}
+		<-release
+	}))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
 	d := &Daemon{}
 	d.startedCallers.Store(l)
-	d.applyTimeouts(snapshot.New(1).WithHeadTimeout(time.Millisecond).WithIdleTimeout(10 * time.Millisecond))
 	dial := func(text string) net.Conn {
 		conn, err := net.Dial("tcp", l.Address())
 		if err != nil {
@@ -63,6 +65,9 @@
 		return conn
 	}
 	busy := dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	// The timeouts are so short that they could end this connection before its request has arrived.
+	<-started
+	d.applyTimeouts(snapshot.New(1).WithHeadTimeout(time.Millisecond).WithIdleTimeout(10 * time.Millisecond))
 	for _, conn := range []net.Conn{dial("GET / HTTP/1.1\r\nHo"), dial("")} {
 		if _, err := conn.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Errorf("got %v, want the connection closed", err)
