--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x target/berylpass ] && [ -x target/review-standin-2 ] || { echo "build first"; exit 2; }
-timeout -k 3 115 target/review-standin-2 new-prefix "review/8/record.txt"
+timeout -k 3 115 target/review-standin-2 lost-departures "review/8/record.txt"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -22,9 +22,8 @@
 	stamp  string
 }
 
-// send sends one request on a connection of its own to a daemon and waits for the answer. The target is sent as it is,
-// and so are the further header lines, which end with CR LF.
-func send(r *record, d *daemon, method, target, further string) sent {
+// send sends one request on a connection of its own to a daemon and waits for the answer. The target is sent as it is.
+func send(r *record, d *daemon, method, target string) sent {
 	s := sent{id: fmt.Sprintf("%016x", lastRequest.Add(1)), target: target, at: time.Now()}
 	defer func() { r.line("client", "%s %s %s at %s: %d %q", s.id, method, target, d.name, s.status, s.body) }()
 	c, err := net.DialTimeout("tcp", d.outbound, time.Second)
@@ -37,8 +36,8 @@
 	if method == http.MethodPost {
 		length = "Content-Length: 0\r\n"
 	}
-	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Berylpass-Attempt-Id: %s\r\nX-Berylpass-Deadline-Ms: 3000\r\nAuthorization: Bearer %s\r\n%s%s\r\n",
-		method, target, host, s.id, apiKey, further, length)
+	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Berylpass-Attempt-Id: %s\r\nX-Berylpass-Deadline-Ms: 3000\r\nAuthorization: Bearer %s\r\n%s\r\n",
+		method, target, host, s.id, apiKey, length)
 	if err != nil {
 		return s
 	}
--- a/review/_standin2/fleet.go
+++ b/review/_standin2/fleet.go
@@ -111,6 +111,7 @@
 	}
 	c := exec.Command("target/berylpass", "serve", d.settings)
 	c.Stdout, c.Stderr = log, log
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	if err := c.Start(); err != nil {
 		return err
--- a/review/_standin2/leaving.go
+++ b/review/_standin2/leaving.go
@@ -22,7 +22,7 @@
 				case <-done:
 					return
 				case <-time.After(pause):
-					send(p.record, d, http.MethodPost, "/rounds/today", "")
+					send(p.record, d, http.MethodPost, "/rounds/today")
 				}
 			}
 		})
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -33,8 +33,8 @@
 	"late-heartbeat":  lateHeartbeat,
 	"new-prefix":      newPrefix,
 	"encoded-target":  encodedTarget,
-	"repeated-key":    repeatedKey,
 	"lost-departures": lostDepartures,
+	"large-uploads":   largeUploads,
 }
 
 func main() { os.Exit(playOf(os.Args[1:])) }
