--- a/review/_standin2/uploads.go
+++ b/review/_standin2/uploads.go
@@ -98,10 +98,10 @@
 }
 
 // largeUploads lets a tenant send an upload every 2.4 s and what it takes, at two machines in turn, and with trouble, in
-// spells, four at a time with a pause of 1.4 s: at most eight times as many.
+// spells, four at a time with a pause of 1.15 s: at most eight times as many.
 func largeUploads(p *play) (bool, error) {
 	const size, spells, hot, busy = 60_000_000, 7, 4, 2
-	const calm, spell, usual, pause = 3 * time.Second, 9 * time.Second, 2400 * time.Millisecond, 1400 * time.Millisecond
+	const calm, spell, usual, pause = 3 * time.Second, 9 * time.Second, 2400 * time.Millisecond, 1150 * time.Millisecond
 	routes := object{"r-rounds": routeTo("rounds", "/rounds/", "upload", 3*time.Second)}
 	if err := p.begin(configurationOf(7, routes, "rounds"), 230*time.Millisecond, kretowisko, "rounds", "rounds", "rounds", "rounds"); err != nil {
 		return false, err
