--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of cases 6 to 10 into target/. Run it after the build of the deploy file.
+# Builds the stand-ins of cases 6 to 9 into target/. Run it after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -ldflags=-linkmode=external -o target/review-standin-2 ./review/_standin2
