--- a/config/note/tables.go
+++ b/config/note/tables.go
@@ -35,7 +35,7 @@
 		field.Of("host", rules.HostAllowed, func(r *route.Route) *string { return &r.Host }, parseHost).
 			WithDefault("any").WithMeaning("Host whose requests the route serves."),
 		field.Of("prefix", rules.PrefixAllowed, func(r *route.Route) *string { return &r.Prefix }, parsePrefix).WithRequired().
-			WithMeaning("Path prefix, matched at segment boundaries; the longest wins."),
+			WithMeaning("Path prefix, matched at segment boundaries with the path as the caller sent it, without decoding; the longest wins."),
 		field.Of("methods", rules.MethodsAllowed, func(r *route.Route) *[]string { return &r.Methods }, parseMethods).
 			WithDefault("all").WithMeaning("HTTP methods that the route serves."),
 		field.Flag("repeatable", func(r *route.Route) *bool { return &r.Repeatable }).WithRequired().
--- a/config/route/route.go
+++ b/config/route/route.go
@@ -7,7 +7,7 @@
 //		WithMatch("", "/renewals", "POST").
 //		WithClass(class.Reservation).
 //		WithDeadline(5 * time.Second)
-//	ok := r.Matches(method, host, path)
+//	ok := r.MatchesMethod("POST")
 package route
 
 import (
@@ -32,7 +32,8 @@
 	Service string
 	// Host is the host of the requests, in lower case and without port; empty for any host.
 	Host string
-	// Prefix is the path prefix, matched at segment boundaries only.
+	// Prefix is the path prefix. It is compared with the path as the caller sent it, without decoding. One that ends
+	// with a slash serves the paths that begin with it; any other one serves the path itself and those below it.
 	Prefix string
 	// Methods are the HTTP methods of the requests; empty for all.
 	Methods []string
@@ -184,21 +185,7 @@
 	return DefaultMaxAttempts
 }
 
-// MatchesPath reports whether the route serves the host, without port, and the path.
-func (r Route) MatchesPath(host, path string) bool {
-	if r.Host != "" && !strings.EqualFold(r.Host, host) {
-		return false
-	}
-	prefix := strings.TrimSuffix(r.Prefix, "/")
-	return path == prefix || strings.HasPrefix(path, prefix+"/")
-}
-
 // MatchesMethod reports whether the route serves the HTTP method.
 func (r Route) MatchesMethod(method string) bool {
 	return len(r.Methods) == 0 || slices.Contains(r.Methods, method)
 }
-
-// Matches reports whether the route serves the request.
-func (r Route) Matches(method, host, path string) bool {
-	return r.MatchesPath(host, path) && r.MatchesMethod(method)
-}
--- a/config/snapshot/snapshot.go
+++ b/config/snapshot/snapshot.go
@@ -13,6 +13,7 @@
 
 import (
 	"errors"
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -168,21 +169,22 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.Routes)) {
 		r := s.Routes[name]
-		indexKey := routeKey(r.Host, strings.TrimSuffix(r.Prefix, "/"))
+		indexKey := routeKey(r.Host, r.Prefix)
 		x.routes[indexKey] = append(x.routes[indexKey], r)
 	}
 	s.index = x
 	return s
 }
 
-// Route returns the route that serves a request with the given method, host and path.
-// Among the routes that allow the method, the longest prefix wins, and at the same prefix
-// a route with a host wins over one without. The error is ErrNoRoute, or ErrMethod if
+// Route returns the route that serves a request with the given method, host and path. The path
+// is the one that the caller sent, still escaped: a decoded one could match a prefix that doesn't
+// begin it. Among the routes that allow the method, the longest prefix wins, and at the same
+// prefix a route with a host wins over one without. The error is ErrNoRoute, or ErrMethod if
 // routes match but none allows the method. Route panics on a snapshot without Index.
 func (s Snapshot) Route(method, host, path string) (route.Route, error) {
 	err := ErrNoRoute
 	host = strings.ToLower(host)
-	for prefix := strings.TrimSuffix(path, "/"); ; prefix = prefix[:strings.LastIndexByte(prefix, '/')] {
+	for prefix := range prefixes(path) {
 		for _, h := range [2]string{host, ""} {
 			for _, r := range s.index.routes[routeKey(h, prefix)] {
 				if r.MatchesMethod(method) {
@@ -191,8 +193,21 @@
 				err = ErrMethod
 			}
 		}
-		if !strings.Contains(prefix, "/") {
-			return route.Route{}, err
+	}
+	return route.Route{}, err
+}
+
+// prefixes returns the prefixes that serve a path, the longest first: the path itself, and at
+// each of its slashes the part up to and including the slash, and the part before it.
+func prefixes(path string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		if !strings.HasSuffix(path, "/") && !yield(path) {
+			return
+		}
+		for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+			if !yield(path[:end+1]) || !yield(path[:end]) {
+				return
+			}
 		}
 	}
 }
--- a/guard/serve.go
+++ b/guard/serve.go
@@ -39,7 +39,7 @@
 	}
 	request := leg.Request{
 		Method: r.Method,
-		Target: r.URL.RequestURI(),
+		Target: r.RequestURI,
 		Host:   r.Host,
 		Header: r.Header,
 		Body:   whole,
--- a/hop/forwarder/forwarder.go
+++ b/hop/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -19,6 +20,8 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -167,10 +170,11 @@
 func (f *Forwarder) Close() { f.transport.CloseIdleConnections() }
 
 func newRequest(ctx context.Context, address string, e hop.Envelope, r Request) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, r.Method, "https://"+address+r.Target, bytes.NewReader(r.Body))
+	request, err := http.NewRequestWithContext(ctx, r.Method, "https://"+address, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, err
 	}
+	request.URL = requestURL(address, r)
 	// The transport does not send a request a second time on its own if the body is of a type
 	// that it does not know and GetBody is nil.
 	request.Body, request.GetBody = io.NopCloser(bytes.NewReader(r.Body)), nil
@@ -183,6 +187,17 @@
 	return request, nil
 }
 
+// requestURL returns the URL of a request to a guard. It is opaque, so that the target is sent as the caller
+// sent it: a parsed path is encoded anew if it has a character that RFC 3986 doesn't allow there.
+func requestURL(address string, r Request) *url.URL {
+	u := &url.URL{Scheme: "https", Host: address, Opaque: r.Target}
+	if strings.HasPrefix(r.Target, "//") {
+		// Two slashes at the start of an opaque part begin an authority, so the target is sent in absolute form.
+		u.Opaque = "//" + cmp.Or(r.Host, address) + r.Target
+	}
+	return u
+}
+
 // readAnswer reads the answer to the attempt of the envelope. A guard's answers show where
 // they end: without that, the end of a connection that was cut between two TLS records would
 // look like the end of the answer.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -178,7 +179,8 @@
 	Random func() float64
 }
 
-// Ingress is the http.Handler that serves callers' requests.
+// Ingress is the http.Handler that serves callers' requests. The RequestURI of a request must be a
+// target in origin form: a path and possibly a query.
 type Ingress struct {
 	Parts
 	self       member.Member
@@ -270,7 +272,8 @@
 		return x, ready
 	}
 	x.snapshot = i.Configuration.Current()
-	matched, err := x.snapshot.Route(r.Method, hostname(r.Host), r.URL.Path)
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	matched, err := x.snapshot.Route(r.Method, hostname(r.Host), path)
 	if err != nil {
 		return x, i.denial(now, err)
 	}
@@ -291,7 +294,7 @@
 	if i.withdrawals.contains(x.caller, x.snapshot.Revision) {
 		return x, errOutdated
 	}
-	if targetContainsKey(r.URL, info.Key) {
+	if targetContainsKey(r.RequestURI, r.URL, info.Key) {
 		return x, errKeyInURL
 	}
 	whole, err := body.Read(r)
@@ -300,7 +303,7 @@
 	}
 	x.request = forwarder.Request{
 		Method: r.Method,
-		Target: r.URL.RequestURI(),
+		Target: r.RequestURI,
 		Host:   r.Host,
 		Header: i.Dialect.ToGuard(r.Header, info),
 		Body:   whole,
--- a/ingress/key.go
+++ b/ingress/key.go
@@ -66,12 +66,12 @@
 	return h
 }
 
-// targetContainsKey reports whether a request's target contains the key, escaped or not.
-func targetContainsKey(u *url.URL, secret string) bool {
+// targetContainsKey reports whether a request's target, which is parsed as u, contains the key, escaped or not.
+func targetContainsKey(target string, u *url.URL, secret string) bool {
 	if len(secret) < minSearchedKeyLen {
 		return false
 	}
-	if strings.Contains(u.RequestURI(), secret) || strings.Contains(u.Path, secret) {
+	if strings.Contains(target, secret) || strings.Contains(u.Path, secret) {
 		return true
 	}
 	query, err := url.QueryUnescape(u.RawQuery)
--- a/ingress/key_test.go
+++ b/ingress/key_test.go
@@ -70,7 +70,7 @@
 			}
 		}
 		u, err := url.ParseRequestURI(target)
-		if err == nil && strings.Contains(u.Path+"?"+u.RawQuery, found) && !targetContainsKey(u, found) {
+		if err == nil && strings.Contains(u.Path+"?"+u.RawQuery, found) && !targetContainsKey(target, u, found) {
 			t.Fatalf("target %q contains the key, but targetContainsKey reports false", target)
 		}
 	})
