--- a/daemon/departures.go
+++ b/daemon/departures.go
@@ -154,7 +154,11 @@
 // restore passes departures to the guard.
 func (r *departureRecovery) restore(processes []departure.Process) {
 	for _, p := range processes {
-		r.daemon.guard.RestoreDeparture(p.ID, p.Incarnation, time.UnixMilli(p.StoredAt))
+		leftAt := time.UnixMilli(p.StoredAt)
+		r.daemon.guard.RestoreDeparture(p.ID, p.Incarnation, leftAt)
+		if p.Unstated {
+			r.daemon.guard.RestoreDeparture(p.ID, 0, leftAt)
+		}
 	}
 }
 
--- a/fleet/departure/departure.go
+++ b/fleet/departure/departure.go
@@ -51,10 +51,13 @@
 // Process is one run of a backend server that has announced that it drains or leaves.
 type Process struct {
 	ID backend.ID `json:"id"`
-	// Incarnation is 0 if the announcement stated none and the process was unknown.
+	// Incarnation is 0 if the announcement stated none and no process of the ID had left before.
 	Incarnation uint64 `json:"incarnation"`
 	// StoredAt is the time of the announcement, in Unix milliseconds of the VM's clock.
 	StoredAt int64 `json:"at"`
+	// Unstated reports whether an announcement stated no incarnation: any process of the ID that had
+	// started by StoredAt may be the one that left.
+	Unstated bool `json:"unstated,omitempty"`
 }
 
 // Same reports whether p and other are the same process.
@@ -62,6 +65,32 @@
 	return p.ID == other.ID && p.Incarnation == other.Incarnation
 }
 
+// Covers reports whether a record of p also says what other does.
+func (p Process) Covers(other Process) bool {
+	return p.Same(other) && (!other.isUnstated() || p.isUnstated() && p.StoredAt >= other.StoredAt)
+}
+
+func (p Process) isUnstated() bool { return p.Unstated || p.Incarnation == 0 }
+
+// merged returns the record of p together with what other, a record of the same process, says.
+func (p Process) merged(other Process) Process {
+	p.StoredAt, p.Unstated = max(p.StoredAt, other.StoredAt), p.Unstated || other.Unstated
+	return p
+}
+
+// Merge adds records to a list in which each process has one record.
+func Merge(list []Process, records ...Process) []Process {
+	list = slices.Clone(list)
+	for _, p := range records {
+		if n := slices.IndexFunc(list, p.Same); n >= 0 {
+			p = p.merged(list[n])
+			list = slices.Delete(list, n, n+1)
+		}
+		list = append(list, p)
+	}
+	return list
+}
+
 // List is the list of departed processes of one VM. It is safe for concurrent use.
 type List struct {
 	store Store
@@ -90,12 +119,14 @@
 	return slices.Clone(l.processes), err
 }
 
-// Add adds a process to the list and sets its time unless it has one. If the list already
-// contains the process, it writes nothing, except for one without an incarnation, of which the
-// latest time counts.
+// Add adds a process to the list and sets its time unless it has one. It writes nothing if the list
+// already says the same; of an announcement that stated no incarnation, the latest time counts.
 func (l *List) Add(ctx context.Context, p Process) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if p.StoredAt == 0 {
+		p.StoredAt = l.clock().UnixMilli()
+	}
 	var err error
 	for range maxWriteAttempts {
 		if !l.loaded {
@@ -103,7 +134,7 @@
 				return err
 			}
 		}
-		if p.Incarnation != 0 && l.contains(p) {
+		if l.contains(p) {
 			return nil
 		}
 		if err = l.write(ctx, p); err == nil {
@@ -135,17 +166,17 @@
 	return err
 }
 
-func (l *List) contains(p Process) bool { return slices.ContainsFunc(l.processes, p.Same) }
+// contains reports whether the list says what a record says.
+func (l *List) contains(p Process) bool {
+	return slices.ContainsFunc(l.processes, func(k Process) bool { return k.Covers(p) })
+}
 
 // isOld reports whether a process may be dropped from the list.
 func (l *List) isOld(p Process) bool { return l.clock().Sub(time.UnixMilli(p.StoredAt)) > MaxAge }
 
 // remember adds processes to those that were in the store.
 func (l *List) remember(processes []Process) {
-	for _, p := range processes {
-		l.known = slices.DeleteFunc(l.known, func(k Process) bool { return k.Same(p) || l.isOld(k) })
-		l.known = append(l.known, p)
-	}
+	l.known = Merge(slices.DeleteFunc(l.known, l.isOld), processes...)
 	l.known = l.known[max(0, len(l.known)-maxProcesses):]
 }
 
@@ -169,30 +200,16 @@
 	return nil
 }
 
-// write writes the list with p, of which the latest time counts.
+// write writes the list with p.
 func (l *List) write(ctx context.Context, p Process) error {
-	if p.StoredAt == 0 {
-		p.StoredAt = l.clock().UnixMilli()
-	}
-	processes := slices.DeleteFunc(slices.Clone(l.processes), func(k Process) bool {
-		if k.Same(p) {
-			p.StoredAt = max(p.StoredAt, k.StoredAt)
-			return true
-		}
-		return l.isOld(k)
-	})
-	return l.put(ctx, append(processes, p))
+	processes := slices.DeleteFunc(slices.Clone(l.processes), func(k Process) bool { return !k.Same(p) && l.isOld(k) })
+	return l.put(ctx, Merge(processes, p))
 }
 
 // put writes the processes and those that were in the store before.
 func (l *List) put(ctx context.Context, processes []Process) error {
-	var lost []Process
-	for _, k := range l.known {
-		if !l.isOld(k) && !slices.ContainsFunc(processes, k.Same) {
-			lost = append(lost, k)
-		}
-	}
-	processes = append(lost, processes...)
+	lost := slices.DeleteFunc(slices.Clone(l.known), l.isOld)
+	processes = Merge(lost, processes...)
 	processes = processes[max(0, len(processes)-maxProcesses):]
 	value, err := json.Marshal(processes)
 	if err != nil {
--- a/fleet/departure/keeper/keeper.go
+++ b/fleet/departure/keeper/keeper.go
@@ -169,11 +169,20 @@
 	k.StoreAnswered()
 }
 
-// Add keeps the departure of a process; incarnation is 0 if it isn't known. It returns once the
+// Add keeps the departure of a process. It returns once the
 // departure is stored, or enough daemons have a copy. Otherwise its error wraps ErrNotKept. A
 // departure that was kept before costs no calls.
 func (k *Keeper) Add(id backend.ID, incarnation uint64) error {
-	p := departure.Process{ID: id, Incarnation: incarnation, StoredAt: k.Clock().UnixMilli()}
+	return k.add(departure.Process{ID: id, Incarnation: incarnation, StoredAt: k.Clock().UnixMilli()})
+}
+
+// AddUnstated does as Add for a departure that stated no incarnation. latest is the latest process of
+// the ID that is known to have left, 0 if there is none.
+func (k *Keeper) AddUnstated(id backend.ID, latest uint64) error {
+	return k.add(departure.Process{ID: id, Incarnation: latest, StoredAt: k.Clock().UnixMilli(), Unstated: true})
+}
+
+func (k *Keeper) add(p departure.Process) error {
 	if k.isKept(p) {
 		return nil
 	}
@@ -253,25 +262,24 @@
 	return outcomes
 }
 
-// isKept reports whether Add has kept the process before. One without an incarnation is kept
-// anew, since the latest time counts.
+// isKept reports whether what the record says has been kept before.
 func (k *Keeper) isKept(p departure.Process) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return p.Incarnation != 0 && slices.ContainsFunc(k.kept, p.Same)
+	return slices.ContainsFunc(k.kept, func(kept departure.Process) bool { return kept.Covers(p) })
 }
 
 func (k *Keeper) remember(p departure.Process) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.kept = append(k.kept, p)
+	k.kept = departure.Merge(k.kept, p)
 	k.kept = k.kept[max(0, len(k.kept)-maxRemembered):]
 }
 
 func (k *Keeper) storeLater(p departure.Process) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.unstored = append(slices.DeleteFunc(k.unstored, p.Same), p)
+	k.unstored = departure.Merge(k.unstored, p)
 	k.unstored = k.unstored[max(0, len(k.unstored)-maxRemembered):]
 }
 
@@ -317,7 +325,7 @@
 			return false
 		}
 		k.mu.Lock()
-		k.unstored = slices.DeleteFunc(k.unstored, p.Same)
+		k.unstored = slices.DeleteFunc(k.unstored, p.Covers)
 		k.mu.Unlock()
 	}
 }
--- a/fleet/departure/keeper/keeper_test.go
+++ b/fleet/departure/keeper/keeper_test.go
@@ -348,3 +348,25 @@
 		return len(stored) == 1 && stored[0].StoredAt == now.Load()
 	})
 }
+
+// TestUnstatedDepartureIsCopiedAnew guards against a departure that stated no incarnation and counts as kept, since an
+// earlier process of the ID has left: neither the store nor a copy would have the time up to which processes are gone.
+func TestUnstatedDepartureIsCopiedAnew(t *testing.T) {
+	for name, unavailable := range map[string]bool{"stored": false, "copied": true} {
+		f := newNetwork(t, 5)
+		k := f.keepers["vm-1"]
+		if err := k.Add("i-1", 42); err != nil {
+			t.Fatal(err)
+		}
+		f.store.SetFaults(memory.Faults{Unavailable: unavailable})
+		f.elapsed.Add(int64(time.Minute))
+		before := f.now()
+		if err := k.AddUnstated("i-1", 42); err != nil {
+			t.Fatal(err)
+		}
+		got := f.recalled("vm-3").Processes
+		if len(got) != 1 || !got[0].Unstated || got[0].StoredAt < before.UnixMilli() {
+			t.Errorf("%s: recalled %v, want the second departure", name, got)
+		}
+	}
+}
--- a/fleet/departure/keeper/receiver.go
+++ b/fleet/departure/keeper/receiver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -155,13 +154,8 @@
 	return knowsFleet && (t.heard == len(p.Holders()) || t.heard-t.newcomers >= p.Answers())
 }
 
-// with returns c with further processes, without repetitions.
+// with returns c with further processes.
 func (c Copies) with(processes []departure.Process) Copies {
-	c.Processes = slices.Clone(c.Processes)
-	for _, p := range processes {
-		if !slices.ContainsFunc(c.Processes, p.Same) {
-			c.Processes = append(c.Processes, p)
-		}
-	}
+	c.Processes = departure.Merge(c.Processes, processes...)
 	return c
 }
--- a/fleet/departure/replica/replica.go
+++ b/fleet/departure/replica/replica.go
@@ -38,10 +38,18 @@
 // Keep adds a departure at the daemon. It drops those older than departure.MaxAge, and the
 // oldest ones beyond its capacity.
 func (r *Replica) Keep(now time.Time, daemon member.ID, p departure.Process) {
+	kept := []departure.Process{p}
 	r.entries = slices.DeleteFunc(r.entries, func(e entry) bool {
-		return now.Sub(e.at) > departure.MaxAge || e.daemon == daemon && e.process.Same(p)
+		if now.Sub(e.at) > departure.MaxAge {
+			return true
+		}
+		if e.daemon != daemon || !e.process.Same(p) {
+			return false
+		}
+		kept = departure.Merge(kept, e.process)
+		return true
 	})
-	r.entries = append(r.entries, entry{daemon: daemon, process: p, at: now})
+	r.entries = append(r.entries, entry{daemon: daemon, process: kept[0], at: now})
 	r.entries = r.entries[max(0, len(r.entries)-maxProcesses):]
 }
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -70,9 +70,13 @@
 // Departures keeps which backend server processes have announced that they drain or leave, so that
 // the record survives a crash of the daemon.
 type Departures interface {
-	// Add keeps one departure; the incarnation is 0 if it isn't known. It takes a fraction of a
-	// second at most. After an error the departure must not be acknowledged.
+	// Add keeps the departure of a process. It takes a fraction of a second at most. After an error
+	// the departure must not be acknowledged.
 	Add(id backend.ID, incarnation uint64) error
+	// AddUnstated does so for a departure that stated no incarnation: any process of the ID that has
+	// started by now may be the one that leaves. latest is the latest one that is known to have left,
+	// 0 if there is none.
+	AddUnstated(id backend.ID, latest uint64) error
 }
 
 // Observer is notified of events at the guard. Its methods must not block.
--- a/guard/registry.go
+++ b/guard/registry.go
@@ -191,36 +191,40 @@
 // 0 if the process names none. BackendLeft adds the process to Departures before it returns.
 // After an error, the departure must not be acknowledged.
 func (g *Guard) BackendLeft(backendID backend.ID, incarnation uint64) error {
-	known := g.recordDeparture(backendID, incarnation)
-	if incarnation == 0 {
-		incarnation = known
+	latest := g.recordDeparture(backendID, incarnation)
+	if incarnation != 0 || g.Departures == nil {
+		return g.keepDeparture(backendID, incarnation)
 	}
-	return g.keepDeparture(backendID, incarnation)
+	return g.Departures.AddUnstated(backendID, latest)
 }
 
 // RestoreDeparture records a departure that an earlier run of the daemon has acknowledged at a
-// time; incarnation is 0 if it was not known.
+// time; incarnation is 0 if the process had stated none.
 func (g *Guard) RestoreDeparture(backendID backend.ID, incarnation uint64, leftAt time.Time) {
 	if incarnation != 0 {
 		g.recordDeparture(backendID, incarnation)
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.instances.RecordRemoval(leftAt, backendID)
+	g.removeIf(backendID, func(now time.Time) bool { return g.instances.RestoreRemoval(now, leftAt, backendID) })
 }
 
 // recordDeparture records that a process has left; incarnation is 0 if it is not known. It
 // returns the latest incarnation of the ID that has left, 0 if none is known.
 func (g *Guard) recordDeparture(backendID backend.ID, incarnation uint64) uint64 {
+	return g.removeIf(backendID, func(now time.Time) bool { return g.instances.Remove(now, backendID, incarnation) })
+}
+
+// removeIf removes a backend server if end, which ends processes of its ID in g.instances, ends that of
+// the backend server. It returns the latest incarnation of the ID that has left, 0 if none is known.
+func (g *Guard) removeIf(backendID backend.ID, end func(now time.Time) bool) uint64 {
 	g.registryMu.Lock()
 	defer g.registryMu.Unlock()
 	now := g.Clock()
 	g.mu.Lock()
-	removed := g.instances.Remove(now, backendID, incarnation)
+	ended := end(now)
 	var gone backend.Backend
 	known := false
-	if present := g.backends[backendID]; removed && (incarnation == 0 || present.Incarnation <= incarnation) {
+	if present := g.backends[backendID]; ended && !g.instances.IsKnown(backendID, present.Incarnation) {
 		gone, known = g.remove(now, backendID)
 	}
 	latest := g.instances.LatestRetired(backendID)
--- a/guard/registry_test.go
+++ b/guard/registry_test.go
@@ -83,6 +83,8 @@
 	return nil
 }
 
+func (l departureList) AddUnstated(id backend.ID, latest uint64) error { return l.Add(id, latest) }
+
 // TestLeaveWithoutIncarnationIsStored checks that a leave that names no incarnation is
 // stored with the incarnation that the guard knows of the backend server.
 func TestLeaveWithoutIncarnationIsStored(t *testing.T) {
