--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -10,9 +10,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -52,6 +54,13 @@
 	}
 	p := &play{fleet: f, runs: &runs{}, clients: newClients(key), trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
 	defer f.close(os.Getenv("KEEP") != "")
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		f.close(false)
+		os.Exit(2)
+	}()
 	if os.Getenv("KEEP") != "" {
 		fmt.Fprintln(os.Stderr, "logs in", f.dir)
 	}
